--- /dev/null
+++ b/cmd/fescueslip/main.go
@@ -0,0 +1,4 @@
+// Command fescueslip is the router's single binary.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/wire/http.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+	// idleConnTimeout is long because opening a connection costs a round trip
+	// on the path of a request.
+	idleConnTimeout = 2 * time.Minute
+)
+
+// DialFunc opens a connection; tests replace it by an in-memory network.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// DefaultDial dials TCP with a timeout that fits one network.
+func DefaultDial() DialFunc {
+	d := &net.Dialer{Timeout: 2 * time.Second}
+	return d.DialContext
+}
+
+// NewClient returns a client for HTTP/2 without TLS between the system's
+// processes. A connection that answers no ping within 2 s is closed, so the
+// next stream gets a fresh one.
+func NewClient(dial DialFunc) *http.Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext:     dial,
+		Protocols:       &p,
+		IdleConnTimeout: idleConnTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
+}
+
+// NewServer returns a server that speaks HTTP/1 and HTTP/2 without TLS.
+func NewServer(h http.Handler) *http.Server {
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &p,
+		ReadHeaderTimeout: 5 * time.Second,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+			MaxConcurrentStreams: 10_000,
+		},
+	}
+}
+
+const bearer = "Bearer "
+
+// SetSecret puts the shared peer secret into the header.
+func SetSecret(h http.Header, secret string) { h.Set("Authorization", bearer+secret) }
+
+// RequireSecret refuses requests that lack the shared peer secret.
+func RequireSecret(secret string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+		if !ok || subtle.ConstantTimeCompare([]byte(got), []byte(secret)) != 1 {
+			http.Error(w, "missing or wrong peer secret", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/wire/stream_test.go
@@ -0,0 +1,131 @@
+package wire_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const testSecret = "secret"
+
+func newReply() *wire.DecodeReply     { return new(wire.DecodeReply) }
+func newRequest() *wire.DecodeRequest { return new(wire.DecodeRequest) }
+
+// serve starts a decode server on the network and returns its stop function.
+func serve(t *testing.T, n *memnet.Network, handle func(*wire.Stream[*wire.DecodeReply, *wire.DecodeRequest])) func() {
+	t.Helper()
+	l, err := n.Listen("sidecar:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := wire.NewServer(wire.RequireSecret(testSecret, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s, err := wire.Accept[*wire.DecodeReply](w, r, newRequest)
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		handle(s)
+	})))
+	go func() { _ = srv.Serve(l) }()
+	return func() { _ = srv.Close() }
+}
+
+func dial(t *testing.T, n *memnet.Network) (*wire.Stream[*wire.DecodeRequest, *wire.DecodeReply], *http.Client) {
+	t.Helper()
+	hc := wire.NewClient(n.Dial)
+	s, err := wire.Dial[*wire.DecodeRequest](t.Context(), hc, "http://sidecar:1/stream/decode", testSecret, newReply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, hc
+}
+
+// Guards against a stream that cannot carry frames both ways at once.
+func TestStreamCarriesFramesBothWays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(0)
+		stop := serve(t, n, func(s *wire.Stream[*wire.DecodeReply, *wire.DecodeRequest]) {
+			for {
+				m, err := s.Recv()
+				if err != nil {
+					return
+				}
+				id := m.GetReserve().GetRequestId()
+				_ = s.Send(&wire.DecodeReply{Body: &wire.DecodeReply_Done{Done: &wire.Done{FinishReason: id}}})
+			}
+		})
+		defer stop()
+		s, hc := dial(t, n)
+		defer hc.CloseIdleConnections()
+		defer s.Close()
+		for _, id := range []string{"a", "b"} {
+			if err := s.Send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Reserve{Reserve: &wire.Reserve{RequestId: id}}}); err != nil {
+				t.Fatal(err)
+			}
+			m, err := s.Recv()
+			if err != nil || m.GetDone().GetFinishReason() != id {
+				t.Fatalf("got %v, %v; want %q", m, err, id)
+			}
+		}
+	})
+}
+
+// Guards against a connection that goes silent and is never noticed by either end.
+func TestSilentConnectionIsNoticedByBothEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(0)
+		serverEnd := make(chan time.Time, 1)
+		stop := serve(t, n, func(s *wire.Stream[*wire.DecodeReply, *wire.DecodeRequest]) {
+			go s.Heartbeat(func() *wire.DecodeReply { return &wire.DecodeReply{} })
+			for {
+				if _, err := s.Recv(); err != nil {
+					serverEnd <- time.Now()
+					return
+				}
+			}
+		})
+		defer stop()
+		s, hc := dial(t, n)
+		defer hc.CloseIdleConnections()
+		defer s.Close()
+		go s.Heartbeat(func() *wire.DecodeRequest { return &wire.DecodeRequest{} })
+		begin := time.Now()
+		time.AfterFunc(10*time.Second, func() { n.Silence("sidecar:1", false) })
+		var err error
+		for err == nil {
+			_, err = s.Recv()
+		}
+		noticed := time.Since(begin) - 10*time.Second
+		if noticed < 0 || noticed > 3*time.Second {
+			t.Fatalf("client noticed after %v (%v), want within 3s", noticed, err)
+		}
+		if d := (<-serverEnd).Sub(begin) - 10*time.Second; d < 0 || d > 3*time.Second {
+			t.Fatalf("server noticed after %v, want within 3s", d)
+		}
+		fresh, err := wire.Dial[*wire.DecodeRequest](t.Context(), hc, "http://sidecar:1/stream/decode", testSecret, newReply)
+		if err != nil {
+			t.Fatalf("fresh stream after silence: %v", err)
+		}
+		fresh.Close()
+	})
+}
+
+// Guards against a sidecar that serves a process without the shared secret.
+func TestWrongSecretIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(0)
+		stop := serve(t, n, func(*wire.Stream[*wire.DecodeReply, *wire.DecodeRequest]) {})
+		defer stop()
+		hc := wire.NewClient(n.Dial)
+		defer hc.CloseIdleConnections()
+		_, err := wire.Dial[*wire.DecodeRequest](t.Context(), hc, "http://sidecar:1/stream/decode", "wrong", newReply)
+		if err == nil || errors.Is(err, wire.ErrSilent) {
+			t.Fatalf("got %v, want a refusal", err)
+		}
+	})
+}
