--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,252 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+)
+
+// RequestIDHeader names the request in responses, logs and the explain command.
+const RequestIDHeader = "X-Request-Id"
+
+// errStopSequence ends generation when the text contains a stop sequence.
+var errStopSequence = errors.New("stop sequence reached")
+
+// usage counts tokens as the OpenAI API does.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type responseMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int              `json:"index"`
+	Text         *string          `json:"text,omitempty"`
+	Message      *responseMessage `json:"message,omitempty"`
+	Delta        *responseMessage `json:"delta,omitempty"`
+	FinishReason *string          `json:"finish_reason"`
+	Logprobs     *struct{}        `json:"logprobs"`
+}
+
+type completionResponse struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// answer writes the result of a request to the caller, either as server-sent
+// events or as one JSON body. The response header goes out with the first
+// token, so that a refusal before it keeps its HTTP status.
+type answer struct {
+	w            http.ResponseWriter
+	rc           *http.ResponseController
+	req          *Request
+	chat         bool
+	stream       bool
+	includeUsage bool
+	created      int64
+
+	started bool
+	text    strings.Builder
+	sent    int // bytes of text that a stream was given
+}
+
+func newAnswer(w http.ResponseWriter, req *Request, chat bool, p parsedCompletion) *answer {
+	return &answer{
+		w:            w,
+		rc:           http.NewResponseController(w),
+		req:          req,
+		chat:         chat,
+		stream:       p.Stream,
+		includeUsage: p.IncludeUsage,
+		created:      time.Now().Unix(),
+	}
+}
+
+// Tokens takes fresh output. It returns errStopSequence when the answer is
+// complete because of a stop sequence, and any other error when the caller
+// cannot be reached.
+func (a *answer) Tokens(fresh []string) error {
+	for _, t := range fresh {
+		a.text.WriteString(t)
+	}
+	if at := a.stopIndex(); at >= 0 {
+		cut := a.text.String()[:at]
+		a.text.Reset()
+		a.text.WriteString(cut)
+		if err := a.flushText(len(cut)); err != nil {
+			return err
+		}
+		return errStopSequence
+	}
+	return a.flushText(a.text.Len() - a.heldBack())
+}
+
+func (a *answer) stopIndex() int {
+	first := -1
+	for _, s := range a.req.Stop {
+		if at := strings.Index(a.text.String(), s); at >= 0 && (first < 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// heldBack returns how many bytes at the end could be the beginning of a stop
+// sequence; a stream must not send them yet.
+func (a *answer) heldBack() int {
+	text := a.text.String()
+	held := 0
+	for _, s := range a.req.Stop {
+		for n := min(len(s)-1, len(text)); n > held; n-- {
+			if strings.HasSuffix(text, s[:n]) {
+				held = n
+				break
+			}
+		}
+	}
+	return held
+}
+
+func (a *answer) flushText(end int) error {
+	if !a.stream || end <= a.sent {
+		return nil
+	}
+	part := a.text.String()[a.sent:end]
+	c := choice{}
+	if a.chat {
+		c.Delta = &responseMessage{Content: part}
+		if a.sent == 0 {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &part
+	}
+	a.sent = end
+	return a.event(a.response([]choice{c}, nil))
+}
+
+// Finish ends the answer.
+func (a *answer) Finish(reason string) error {
+	u := &usage{PromptTokens: a.req.PromptTokens, CompletionTokens: int(a.req.Delivered())}
+	u.TotalTokens = u.PromptTokens + u.CompletionTokens
+	if !a.stream {
+		return a.whole(reason, u)
+	}
+	if err := a.flushText(a.text.Len()); err != nil {
+		return err
+	}
+	last := choice{FinishReason: &reason}
+	if a.chat {
+		last.Delta = &responseMessage{}
+	} else {
+		last.Text = new(string)
+	}
+	if err := a.event(a.response([]choice{last}, nil)); err != nil {
+		return err
+	}
+	if a.includeUsage {
+		if err := a.event(a.response([]choice{}, u)); err != nil {
+			return err
+		}
+	}
+	return a.raw("data: [DONE]\n\n")
+}
+
+func (a *answer) whole(reason string, u *usage) error {
+	text := a.text.String()
+	c := choice{FinishReason: &reason}
+	if a.chat {
+		c.Message = &responseMessage{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	a.header("application/json")
+	return json.NewEncoder(a.w).Encode(a.response([]choice{c}, u))
+}
+
+// Fail reports an error: as the whole response when nothing was sent, and as an
+// event otherwise. A stream that failed has no [DONE], so that a client does
+// not take a part for the whole.
+func (a *answer) Fail(e *fault.Error) {
+	if !a.started {
+		a.started = true
+		e.Write(a.w)
+		return
+	}
+	_ = a.event(e.Body())
+}
+
+func (a *answer) response(choices []choice, u *usage) completionResponse {
+	r := completionResponse{
+		ID:      a.objectID(),
+		Created: a.created,
+		Model:   a.req.Model.Name,
+		Choices: choices,
+		Usage:   u,
+	}
+	switch {
+	case !a.chat:
+		r.Object = "text_completion"
+	case a.stream:
+		r.Object = "chat.completion.chunk"
+	default:
+		r.Object = "chat.completion"
+	}
+	return r
+}
+
+func (a *answer) objectID() string {
+	if a.chat {
+		return "chatcmpl-" + a.req.ID
+	}
+	return "cmpl-" + a.req.ID
+}
+
+func (a *answer) header(contentType string) {
+	if a.started {
+		return
+	}
+	a.started = true
+	a.w.Header().Set("Content-Type", contentType)
+	a.w.Header().Set("Cache-Control", "no-store")
+	a.w.WriteHeader(http.StatusOK)
+}
+
+func (a *answer) event(v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+	return a.raw("data: " + string(raw) + "\n\n")
+}
+
+// callerWriteTimeout bounds a write to a caller that does not read. Its request
+// would otherwise keep engine memory for as long as the connection stays open.
+const callerWriteTimeout = 10 * time.Second
+
+func (a *answer) raw(s string) error {
+	a.header("text/event-stream")
+	// Not every ResponseWriter has deadlines; the stream works without.
+	_ = a.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	if _, err := a.w.Write([]byte(s)); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	if err := a.rc.Flush(); err != nil {
+		return errors.Wrap(err, "flush to caller")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/handlers.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/fault"
+)
+
+// errRequestTimeout is the cause when a request used up RequestTimeout.
+var errRequestTimeout = errors.New("request timeout")
+
+func (e *Entry) complete(c *gin.Context, chat bool) {
+	body, err := e.readBody(c)
+	if err != nil {
+		e.refuse(c, fault.From(err))
+		return
+	}
+	parsed, err := parseCompletion(body, chat)
+	if err != nil {
+		e.refuse(c, fault.From(err))
+		return
+	}
+	snap := snapshotOf(c)
+	req, err := e.newRequest(c, snap, parsed)
+	if err != nil {
+		e.refuse(c, fault.From(err))
+		return
+	}
+	e.generate(c, snap, req, newAnswer(c.Writer, req, chat, parsed))
+}
+
+// readBody reads the whole body within the limits of size and time.
+func (e *Entry) readBody(c *gin.Context) ([]byte, error) {
+	rc := http.NewResponseController(c.Writer)
+	if err := rc.SetReadDeadline(time.Now().Add(e.limits.BodyTimeout)); err == nil {
+		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, e.limits.MaxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.KindBodyTooLarge, "send a smaller body", "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return nil, fault.New(fault.KindSlowCaller, "send the body faster", "the body did not arrive within %s", e.limits.BodyTimeout)
+	}
+	return nil, fault.New(fault.KindMalformed, "send a complete body", "the body could not be read").WithCause(err)
+}
+
+func (e *Entry) newRequest(c *gin.Context, snap *config.Snapshot, p parsedCompletion) (*Request, error) {
+	model, ok := snap.Models[p.Model]
+	if !ok {
+		return nil, fault.New(fault.KindUnknownModel, "name a model of GET /v1/models", "there is no model %q", p.Model).WithParam("model")
+	}
+	tokens := countTokens(p.Prompt)
+	if tokens > model.MaxPromptTokens {
+		return nil, fault.New(fault.KindPromptTooLong, "shorten the prompt",
+			"the prompt has about %d tokens; the model takes %d", tokens, model.MaxPromptTokens).WithParam("prompt")
+	}
+	now := time.Now()
+	maxTokens := min(p.MaxTokens, model.MaxOutputTokens)
+	return &Request{
+		ID:           c.GetString(keyRequestID),
+		Caller:       callerOf(c),
+		Model:        model,
+		Prompt:       p.Prompt,
+		PromptTokens: tokens,
+		MaxTokens:    maxTokens,
+		Stop:         p.Stop,
+		Sampling:     p.Sampling,
+		Fingerprint:  fingerprintOf(p.Model, p.Prompt, maxTokens),
+		Accepted:     now,
+		Deadline:     now.Add(snap.Policy.TTFTTarget),
+	}, nil
+}
+
+func (e *Entry) generate(c *gin.Context, snap *config.Snapshot, req *Request, out *answer) {
+	ctx, cancel := context.WithTimeoutCause(c.Request.Context(), e.limits.RequestTimeout, errRequestTimeout)
+	defer cancel()
+	r := e.newRunner(ctx, req, out, snap)
+	err := r.run()
+	e.metrics.finished(c.Request.Context(), req, err)
+	if err == nil {
+		e.observeLength(req)
+		e.log.Info("request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
+			"prompt_tokens", req.PromptTokens, "output_tokens", req.Delivered(), "revision", snap.Revision,
+			"duration", time.Since(req.Accepted))
+		return
+	}
+	if c.Request.Context().Err() != nil {
+		r.record("cancelled", "", "the caller left")
+		e.log.Info("caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
+		return
+	}
+	f := r.faultOf(err)
+	r.record("failed", "", string(f.Kind))
+	e.metrics.refused(c.Request.Context(), f.Kind)
+	e.log.Warn("request not answered", "request", req.ID, "caller", req.Caller.Name, "kind", f.Kind,
+		"outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
+	out.Fail(f)
+}
+
+// faultOf makes the error that the caller sees. A request that was granted may
+// have run in part, so its outcome is unknown unless the error says more.
+func (r *runner) faultOf(err error) *fault.Error {
+	if errors.Is(err, errRequestTimeout) {
+		return fault.New(fault.KindTimeout, "send it again when the load is lower",
+			"the request did not finish within %s", r.entry.limits.RequestTimeout).WithOutcome(fault.Unknown)
+	}
+	f := fault.From(err)
+	if r.accepted && f.Outcome == fault.NotRun {
+		return f.WithOutcome(fault.Unknown)
+	}
+	return f
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) listModels(c *gin.Context) {
+	snap := snapshotOf(c)
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for name := range snap.Models {
+		list.Data = append(list.Data, modelInfo{ID: name, Object: "model", OwnedBy: "fescueslip"})
+	}
+	slices.SortFunc(list.Data, func(a, b modelInfo) int { return strings.Compare(a.ID, b.ID) })
+	c.JSON(http.StatusOK, list)
+}
+
+func (e *Entry) lookupOutcome(c *gin.Context) {
+	if e.outcomes == nil {
+		e.refuse(c, fault.New(fault.KindUnknownRoute, "use another entry", "this entry has no ledger"))
+		return
+	}
+	e.outcomes.ServeOutcome(c.Writer, c.Request, callerOf(c), c.Param("key"))
+}
+
+func (e *Entry) servePlain(c *gin.Context) {
+	// gin prepares 404 for unmatched paths; the route of the service decides.
+	c.Status(http.StatusOK)
+	if e.plain == nil {
+		e.refuse(c, fault.New(fault.KindUnknownRoute, "check the path", "no route matches %s", c.Request.URL.Path))
+		return
+	}
+	e.plain.ServeCall(c.Writer, c.Request, callerOf(c), c.GetString(keyRequestID))
+}
--- /dev/null
+++ b/internal/entry/inbox.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// event is what one of a request's streams reported: a frame or the stream's end.
+type event struct {
+	decodeConn   *decodeConn
+	decodeReply  *wire.DecodeReply
+	prefillConn  *prefillConn
+	prefillReply *wire.PrefillReply
+	err          error
+}
+
+// inbox is the queue of a request's events. It is not bounded by count: a
+// caller that reads slowly must not stop heartbeats from being read, and the
+// output of a request is bounded by its token limit.
+type inbox struct {
+	mu     sync.Mutex
+	events []event
+	wake   chan struct{}
+}
+
+func newInbox() *inbox { return &inbox{wake: make(chan struct{}, 1)} }
+
+func (b *inbox) put(e event) {
+	b.mu.Lock()
+	b.events = append(b.events, e)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take() (event, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.events) == 0 {
+		return event{}, false
+	}
+	e := b.events[0]
+	b.events[0] = event{}
+	b.events = b.events[1:]
+	return e, true
+}
+
+// next waits for an event; it returns the context's cause when that ends first.
+func (b *inbox) next(ctx context.Context) (event, error) {
+	for {
+		if e, ok := b.take(); ok {
+			return e, nil
+		}
+		select {
+		case <-ctx.Done():
+			return event{}, context.Cause(ctx)
+		case <-b.wake:
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+)
+
+// Metrics are the instruments of an entry. None has a caller label: 18,000
+// callers would make as many series; the fairness command reports per caller.
+type Metrics struct {
+	requests   metric.Int64Counter
+	refusals   metric.Int64Counter
+	attempts   metric.Int64Counter
+	tokens     metric.Int64Counter
+	duration   metric.Float64Histogram
+	firstToken metric.Float64Histogram
+}
+
+// NewMetrics registers the instruments with a meter.
+func NewMetrics(m metric.Meter) (*Metrics, error) {
+	var out Metrics
+	var errs []error
+	note := func(err error) {
+		if err != nil {
+			errs = append(errs, err)
+		}
+	}
+	var err error
+	out.requests, err = m.Int64Counter("fescueslip.entry.requests", metric.WithUnit("{request}"),
+		metric.WithDescription("Model requests by result."))
+	note(err)
+	out.refusals, err = m.Int64Counter("fescueslip.entry.refusals", metric.WithUnit("{request}"),
+		metric.WithDescription("Refused or failed requests by error kind."))
+	note(err)
+	out.attempts, err = m.Int64Counter("fescueslip.entry.attempts", metric.WithUnit("{attempt}"),
+		metric.WithDescription("Attempts of model requests."))
+	note(err)
+	out.tokens, err = m.Int64Counter("fescueslip.entry.output_tokens", metric.WithUnit("{token}"),
+		metric.WithDescription("Output tokens delivered to callers."))
+	note(err)
+	out.duration, err = m.Float64Histogram("fescueslip.entry.request.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from acceptance to the end of the answer."))
+	note(err)
+	out.firstToken, err = m.Float64Histogram("fescueslip.entry.first_token.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from acceptance to the first token."))
+	note(err)
+	return &out, errors.Join(errs...)
+}
+
+func (m *Metrics) refused(ctx context.Context, kind fault.Kind) {
+	if m == nil {
+		return
+	}
+	m.refusals.Add(ctx, 1, metric.WithAttributes(attribute.String("error.type", string(kind))))
+}
+
+func (m *Metrics) finished(ctx context.Context, req *Request, err error) {
+	if m == nil {
+		return
+	}
+	result := "finished"
+	switch {
+	case err != nil && ctx.Err() != nil:
+		result = "cancelled"
+	case err != nil:
+		result = "failed"
+	}
+	m.requests.Add(ctx, 1, metric.WithAttributes(attribute.String("result", result)))
+	m.attempts.Add(ctx, int64(req.Attempt()))
+	m.tokens.Add(ctx, int64(req.Delivered()))
+	m.duration.Record(ctx, time.Since(req.Accepted).Seconds())
+}
--- /dev/null
+++ b/internal/entry/middleware.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/fault"
+)
+
+const (
+	keyRequestID = "request_id"
+	keyCaller    = "caller"
+	keySnapshot  = "snapshot"
+)
+
+// refuse ends a call before any work was done for it.
+func (e *Entry) refuse(c *gin.Context, f *fault.Error) {
+	e.log.Info("refused request", "request", c.GetString(keyRequestID), "kind", f.Kind,
+		"outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
+	e.metrics.refused(c.Request.Context(), f.Kind)
+	f.Write(c.Writer)
+	c.Abort()
+}
+
+func (e *Entry) recover(c *gin.Context) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if p == http.ErrAbortHandler {
+			panic(p)
+		}
+		e.log.Error("request handler panicked", "request", c.GetString(keyRequestID), "panic", fmt.Sprint(p))
+		if !c.Writer.Written() {
+			fault.From(nil).Write(c.Writer)
+		}
+		c.Abort()
+	}()
+	c.Next()
+}
+
+// identify gives the request an id of its own. An id sent by the caller is not
+// used, because ids name attempts at the engines and must be unique.
+func (e *Entry) identify(c *gin.Context) {
+	id := uuid.NewString()
+	c.Set(keyRequestID, id)
+	c.Header(RequestIDHeader, id)
+}
+
+func (e *Entry) checkHeaders(c *gin.Context) {
+	count := 0
+	for _, values := range c.Request.Header {
+		count += len(values)
+	}
+	if count > e.limits.MaxHeaderCount {
+		e.refuse(c, fault.New(fault.KindMalformed, "send fewer header fields",
+			"%d header fields are more than the %d allowed", count, e.limits.MaxHeaderCount))
+	}
+}
+
+// authenticate finds the caller by the SHA-256 of its bearer key. The key
+// itself is never stored or logged.
+func (e *Entry) authenticate(c *gin.Context) {
+	snap := e.config.Snapshot()
+	if snap == nil {
+		e.refuse(c, fault.New(fault.KindNotReady, "send it to another entry", "this entry has no configuration yet").WithRetryAfter(time.Second))
+		return
+	}
+	scheme, key, ok := strings.Cut(c.GetHeader("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		e.refuse(c, fault.New(fault.KindUnauthorized, "send the header Authorization: Bearer with your key", "the caller key is missing"))
+		return
+	}
+	caller, ok := snap.CallerByKeyHash(sha256.Sum256([]byte(strings.TrimSpace(key))))
+	if !ok {
+		e.refuse(c, fault.New(fault.KindUnauthorized, "check the key with your operator", "the caller key is not known"))
+		return
+	}
+	c.Set(keyCaller, caller)
+	c.Set(keySnapshot, snap)
+}
+
+// admit refuses while the entry is leaving and bounds each caller's requests in
+// progress.
+func (e *Entry) admit(c *gin.Context) {
+	caller := callerOf(c)
+	limit := caller.MaxStreams
+	if limit == 0 {
+		limit = e.limits.MaxStreamsPerCaller
+	}
+	release, ok := e.streams.acquire(caller.Name, limit)
+	if !ok {
+		e.refuse(c, fault.New(fault.KindTooManyStreams, "wait for one of them to finish",
+			"the caller already has %d requests in progress at this entry", limit).WithRetryAfter(time.Second))
+		return
+	}
+	defer release()
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	// The check follows the registration, so that Drain cannot miss a request.
+	if e.leaving.Load() {
+		c.Header("Connection", "close")
+		e.refuse(c, fault.New(fault.KindLeaving, "send it again; another entry answers", "this entry is leaving").WithRetryAfter(time.Second))
+		return
+	}
+	c.Next()
+}
+
+func callerOf(c *gin.Context) *config.Caller {
+	return c.MustGet(keyCaller).(*config.Caller)
+}
+
+func snapshotOf(c *gin.Context) *config.Snapshot {
+	return c.MustGet(keySnapshot).(*config.Snapshot)
+}
--- /dev/null
+++ b/internal/entry/prefill.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// beginPrefill asks the next prefill upstream under the granted reservation.
+func (r *runner) beginPrefill() error {
+	if len(r.prefillTried) >= maxPrefillsPerAttempt {
+		return r.noPrefill("too many prefill upstreams failed")
+	}
+	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillTried)
+	if !ok {
+		return r.noPrefill("no prefill upstream is available")
+	}
+	r.prefillTried[t.upstream] = true
+	r.prefillBegan = time.Now()
+	r.prefill = r.openPrefill(t)
+	r.record("prefill", t.upstream, "")
+	return nil
+}
+
+// noPrefill gives the reservation back: a decode slot must not wait for a
+// prefill that cannot start.
+func (r *runner) noPrefill(detail string) error {
+	return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: detail}
+}
+
+func (r *runner) prefillFrame(c *prefillConn, m *wire.PrefillReply) error {
+	r.entry.hints.note(m.Load)
+	switch b := m.Body.(type) {
+	case *wire.PrefillReply_Started:
+		r.prefillBegan = time.Now()
+	case *wire.PrefillReply_Ready:
+		return r.prefillReady(c, b.Ready)
+	case *wire.PrefillReply_Refused:
+		if b.Refused.Kind == wire.RefusalKind_REFUSAL_TOO_LARGE {
+			return fault.New(fault.KindPromptTooLong, "shorten the prompt", "%s", b.Refused.Detail)
+		}
+		return r.prefillLost(c, "refused: "+b.Refused.Kind.String())
+	case *wire.PrefillReply_Failed:
+		if b.Failed.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
+			r.req.Suspect = true
+		}
+		return r.prefillLost(c, b.Failed.Kind.String()+" "+b.Failed.Detail)
+	}
+	return nil
+}
+
+func (r *runner) prefillEnded(c *prefillConn, err error) error {
+	return r.prefillLost(c, endDetail(err))
+}
+
+// prefillLost handles the loss of the prefill stream: before the import began
+// another upstream prefills; afterwards the decode side reports what the
+// transfer came to.
+func (r *runner) prefillLost(c *prefillConn, detail string) error {
+	r.record("prefill-failed", c.target.upstream, detail)
+	c.close(cancelPrefill("failed"))
+	if c != r.prefill {
+		return nil
+	}
+	r.prefill, r.ready = nil, nil
+	if r.decode == nil || r.starting {
+		return nil
+	}
+	return r.beginPrefill()
+}
+
+func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
+	r.ready = ready
+	r.entry.prefillRate.observe(ready.Tokens-min(ready.Tokens, ready.CachedTokens), time.Since(r.prefillBegan))
+	r.record("prefilled", c.target.upstream, "")
+	if r.decode == nil {
+		return nil
+	}
+	return r.start()
+}
+
+// start tells the decode sidecar to import the held output and to decode.
+func (r *runner) start() error {
+	r.starting = true
+	err := r.decode.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Start{Start: &wire.Start{
+		SourceUrl:    r.ready.SourceUrl,
+		Handle:       r.ready.Handle,
+		KvBytes:      r.ready.KvBytes,
+		Prompt:       r.req.Prompt,
+		ResumeTokens: r.req.Delivered(),
+		MaxTokens:    uint64(r.req.MaxTokens),
+		Sampling:     r.req.Sampling,
+	}}})
+	if err != nil {
+		return r.failAttempt(r.decode.target.upstream, wire.FailureKind_FAILURE_ENGINE_LOST, err.Error())
+	}
+	return nil
+}
+
+func (r *runner) releasePrefill(reason string) {
+	r.prefill.close(cancelPrefill(reason))
+	r.prefill, r.ready = nil, nil
+}
+
+func (r *runner) openPrefill(t target) *prefillConn {
+	now := time.Now()
+	c := new(prefillConn)
+	first := &wire.PrefillRequest{Body: &wire.PrefillRequest_Prefill{Prefill: &wire.Prefill{
+		RequestId:      r.req.ID,
+		Attempt:        r.req.Attempt(),
+		Caller:         r.req.Caller.Name,
+		Share:          r.req.Caller.Share,
+		Model:          r.req.Model.Name,
+		Prompt:         r.req.PrefillText(),
+		PromptTokens:   uint64(r.req.PrefillTokens()),
+		TtftBudgetMs:   milliseconds(r.req.TTFTBudget(now)),
+		WaitedMs:       milliseconds(now.Sub(r.req.Accepted)),
+		Fingerprint:    r.req.Fingerprint[:],
+		Suspect:        r.req.Suspect,
+		ConfigRevision: r.snap.Revision,
+	}}}
+	openConn(r.ctx, t, streamCall[*wire.PrefillRequest, *wire.PrefillReply]{
+		client:  r.entry.client,
+		secret:  r.entry.secret,
+		path:    "/stream/prefill",
+		first:   first,
+		renew:   renewPrefill,
+		newR:    func() *wire.PrefillReply { return new(wire.PrefillReply) },
+		deliver: func(m *wire.PrefillReply, err error) { r.inbox.put(event{prefillConn: c, prefillReply: m, err: err}) },
+	}, c)
+	return c
+}
+
+func (r *runner) openDecode(t target) *decodeConn {
+	now := time.Now()
+	c := new(decodeConn)
+	remaining := uint64(r.req.MaxTokens) - min(uint64(r.req.MaxTokens), r.req.Delivered())
+	first := &wire.DecodeRequest{Body: &wire.DecodeRequest_Reserve{Reserve: &wire.Reserve{
+		RequestId:       r.req.ID,
+		Attempt:         r.req.Attempt(),
+		Caller:          r.req.Caller.Name,
+		Share:           r.req.Caller.Share,
+		Model:           r.req.Model.Name,
+		PromptTokens:    uint64(r.req.PrefillTokens()),
+		PredictedTokens: r.entry.predict(r.req),
+		MaxTokens:       remaining,
+		PrefillMs:       milliseconds(r.entry.prefillRate.estimate(r.req.PrefillTokens())),
+		TtftBudgetMs:    milliseconds(r.req.TTFTBudget(now)),
+		WaitedMs:        milliseconds(now.Sub(r.req.Accepted)),
+		Fingerprint:     r.req.Fingerprint[:],
+		Suspect:         r.req.Suspect,
+		ConfigRevision:  r.snap.Revision,
+	}}}
+	openConn(r.ctx, t, streamCall[*wire.DecodeRequest, *wire.DecodeReply]{
+		client:  r.entry.client,
+		secret:  r.entry.secret,
+		path:    "/stream/decode",
+		first:   first,
+		renew:   renewDecode,
+		newR:    func() *wire.DecodeReply { return new(wire.DecodeReply) },
+		deliver: func(m *wire.DecodeReply, err error) { r.inbox.put(event{decodeConn: c, decodeReply: m, err: err}) },
+	}, c)
+	return c
+}
+
+func milliseconds(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
+
+// refusalFault tells the caller why no reservation was granted. Nothing ran:
+// each sidecar refused before it submitted anything.
+func refusalFault(refusals []*wire.Refused) *fault.Error {
+	var retry time.Duration
+	overloaded := false
+	for _, f := range refusals {
+		switch f.Kind {
+		case wire.RefusalKind_REFUSAL_TOO_LARGE:
+			return fault.New(fault.KindPromptTooLong, "shorten the prompt or lower max_tokens", "%s", f.Detail)
+		case wire.RefusalKind_REFUSAL_OVERLOADED:
+			wait := time.Duration(f.RetryAfterMs) * time.Millisecond
+			if !overloaded || wait < retry {
+				retry = wait
+			}
+			overloaded = true
+		}
+	}
+	if overloaded {
+		return fault.New(fault.KindOverloaded, "send it again after Retry-After",
+			"the upstreams are fully loaded").WithRetryAfter(max(retry, time.Second))
+	}
+	cause := errors.New("no candidate upstream")
+	if len(refusals) > 0 {
+		cause = errors.Errorf("%s: %s", refusals[0].Kind, refusals[0].Detail)
+	}
+	return fault.New(fault.KindUnavailable, "send it again after Retry-After",
+		"no upstream takes the request").WithRetryAfter(time.Second).WithCause(cause)
+}
--- /dev/null
+++ b/internal/entry/runner.go
@@ -0,0 +1,357 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const (
+	// reservationsPerAttempt is how many sidecars a request waits at; the first
+	// grant wins, which evens out queues that the entry knows late.
+	reservationsPerAttempt = 2
+	// maxAttempts bounds the attempts of one request after failures.
+	maxAttempts = 8
+	// maxPrefillsPerAttempt bounds the prefill upstreams tried under one reservation.
+	maxPrefillsPerAttempt = 3
+	retryDelay            = 100 * time.Millisecond
+	maxRetryDelay         = 2 * time.Second
+)
+
+// attemptError ends an attempt that another attempt can follow.
+type attemptError struct {
+	upstream string
+	kind     wire.FailureKind
+	detail   string
+}
+
+func (e *attemptError) Error() string {
+	return "attempt failed at " + e.upstream + ": " + e.kind.String() + ": " + e.detail
+}
+
+// errFinished ends a request whose answer is complete.
+var errFinished = errors.New("answer complete")
+
+// runner carries one request through its attempts. All events of its streams
+// arrive in one inbox and are handled by one goroutine, so that its state
+// needs no lock.
+type runner struct {
+	entry *Entry
+	req   *Request
+	out   *answer
+	snap  *config.Snapshot
+	ctx   context.Context
+	inbox *inbox
+
+	candidates []target
+	pending    []*decodeConn
+	decode     *decodeConn // holds the granted reservation
+	refusals   []*wire.Refused
+	accepted   bool // a reservation was granted; the request is owed its answer
+
+	prefill      *prefillConn
+	ready        *wire.Ready // the output that the prefill stream holds
+	prefillTried map[string]bool
+	prefillBegan time.Time
+	starting     bool
+
+	avoid map[string]bool // upstreams at which an attempt of this request failed
+}
+
+func (e *Entry) newRunner(ctx context.Context, req *Request, out *answer, snap *config.Snapshot) *runner {
+	return &runner{
+		entry: e,
+		req:   req,
+		out:   out,
+		snap:  snap,
+		ctx:   ctx,
+		inbox: newInbox(),
+		avoid: make(map[string]bool),
+	}
+}
+
+// run returns nil when the caller has the whole answer.
+func (r *runner) run() error {
+	defer r.closeAll("request ended")
+	delay := retryDelay
+	for {
+		err := r.attempt()
+		if errors.Is(err, errFinished) {
+			return nil
+		}
+		var failed *attemptError
+		if !errors.As(err, &failed) || r.ctx.Err() != nil {
+			return err
+		}
+		if err := r.planRetry(failed); err != nil {
+			return err
+		}
+		if !r.sleep(delay) {
+			return context.Cause(r.ctx)
+		}
+		delay = min(2*delay, maxRetryDelay)
+	}
+}
+
+func (r *runner) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (r *runner) attempt() error {
+	n := r.req.NextAttempt()
+	r.prefillTried = make(map[string]bool)
+	r.refusals = nil
+	r.starting = false
+	defer r.closeReservations("attempt ended")
+	r.candidates = r.entry.decodeCandidates(r.snap, r.req, r.avoid)
+	if len(r.candidates) == 0 && len(r.avoid) > 0 {
+		clear(r.avoid)
+		r.candidates = r.entry.decodeCandidates(r.snap, r.req, r.avoid)
+	}
+	r.record("attempt", "", "")
+	for range reservationsPerAttempt {
+		r.reserveNext()
+	}
+	if err := r.checkPending(); err != nil {
+		return err
+	}
+	for r.req.Attempt() == n {
+		ev, err := r.inbox.next(r.ctx)
+		if err != nil {
+			return err
+		}
+		if err := r.handle(ev); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) handle(ev event) error {
+	switch {
+	case ev.decodeConn != nil && ev.decodeConn.closed, ev.prefillConn != nil && ev.prefillConn.closed:
+		return nil
+	case ev.decodeConn != nil && ev.err != nil:
+		return r.decodeEnded(ev.decodeConn, ev.err)
+	case ev.decodeConn != nil:
+		return r.decodeFrame(ev.decodeConn, ev.decodeReply)
+	case ev.err != nil:
+		return r.prefillEnded(ev.prefillConn, ev.err)
+	default:
+		return r.prefillFrame(ev.prefillConn, ev.prefillReply)
+	}
+}
+
+// reserveNext asks the next candidate for a reservation.
+func (r *runner) reserveNext() {
+	if len(r.candidates) == 0 {
+		return
+	}
+	t := r.candidates[0]
+	r.candidates = r.candidates[1:]
+	r.pending = append(r.pending, r.openDecode(t))
+	r.record("reserve", t.upstream, "")
+}
+
+// checkPending fails the attempt when no reservation can be granted any more.
+func (r *runner) checkPending() error {
+	if r.decode != nil || len(r.pending) > 0 {
+		return nil
+	}
+	f := refusalFault(r.refusals)
+	if r.accepted {
+		// An accepted request is owed its answer: wait and try again.
+		return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: f.Message}
+	}
+	return f
+}
+
+func (r *runner) dropPending(c *decodeConn, reason string) {
+	for i, p := range r.pending {
+		if p == c {
+			r.pending = append(r.pending[:i], r.pending[i+1:]...)
+			break
+		}
+	}
+	c.close(cancelDecode(reason))
+}
+
+func (r *runner) decodeEnded(c *decodeConn, err error) error {
+	if c == r.decode {
+		return r.failAttempt(c.target.upstream, wire.FailureKind_FAILURE_ENGINE_LOST, endDetail(err))
+	}
+	r.record("reserve-failed", c.target.upstream, err.Error())
+	r.refusals = append(r.refusals, &wire.Refused{Kind: wire.RefusalKind_REFUSAL_ENGINE_DOWN, Detail: err.Error()})
+	r.dropPending(c, "stream failed")
+	r.reserveNext()
+	return r.checkPending()
+}
+
+func endDetail(err error) string {
+	if errors.Is(err, io.EOF) {
+		return "the sidecar closed the stream"
+	}
+	return err.Error()
+}
+
+func (r *runner) decodeFrame(c *decodeConn, m *wire.DecodeReply) error {
+	r.entry.hints.note(m.Load)
+	switch b := m.Body.(type) {
+	case *wire.DecodeReply_Granted:
+		return r.granted(c, b.Granted)
+	case *wire.DecodeReply_Refused:
+		return r.refused(c, b.Refused)
+	case *wire.DecodeReply_Imported:
+		r.record("imported", c.target.upstream, "")
+		r.releasePrefill("imported")
+	case *wire.DecodeReply_Tokens:
+		return r.tokens(b.Tokens)
+	case *wire.DecodeReply_Done:
+		return r.done(c, b.Done)
+	case *wire.DecodeReply_Failed:
+		return r.decodeFailed(c, b.Failed)
+	}
+	return nil
+}
+
+func (r *runner) granted(c *decodeConn, g *wire.Granted) error {
+	if r.decode != nil {
+		return nil
+	}
+	r.decode = c
+	r.accepted = true
+	r.record("granted", c.target.upstream, (time.Duration(g.FreeInMs) * time.Millisecond).String())
+	for _, p := range r.pending {
+		if p != c {
+			p.close(cancelDecode("granted elsewhere"))
+		}
+	}
+	r.pending = nil
+	if r.ready != nil {
+		return r.start()
+	}
+	return r.beginPrefill()
+}
+
+func (r *runner) refused(c *decodeConn, f *wire.Refused) error {
+	r.record("refused", c.target.upstream, f.Kind.String()+" "+f.Detail)
+	r.refusals = append(r.refusals, f)
+	if c == r.decode {
+		r.decode = nil
+	}
+	r.dropPending(c, "refused")
+	if f.Kind == wire.RefusalKind_REFUSAL_SUSPECT {
+		r.req.Suspect = true
+	}
+	r.reserveNext()
+	return r.checkPending()
+}
+
+func (r *runner) tokens(t *wire.Tokens) error {
+	fresh, err := r.req.Accept(t)
+	if err != nil {
+		return r.failAttempt(r.decode.target.upstream, wire.FailureKind_FAILURE_ENGINE, err.Error())
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	if r.req.Delivered() == uint64(len(fresh)) {
+		r.entry.observeFirstToken(r.req)
+		r.record("first-token", r.decode.target.upstream, "")
+	}
+	err = r.out.Tokens(fresh)
+	if errors.Is(err, errStopSequence) {
+		return r.finish("stop")
+	}
+	return err
+}
+
+func (r *runner) done(c *decodeConn, d *wire.Done) error {
+	if !r.req.Complete(d) {
+		return r.failAttempt(c.target.upstream, wire.FailureKind_FAILURE_ENGINE, "the end does not match the output")
+	}
+	return r.finish(d.FinishReason)
+}
+
+func (r *runner) finish(reason string) error {
+	r.record("done", r.decode.target.upstream, reason)
+	if err := r.out.Finish(reason); err != nil {
+		return err
+	}
+	return errFinished
+}
+
+func (r *runner) decodeFailed(c *decodeConn, f *wire.Failed) error {
+	if c != r.decode {
+		return r.decodeEnded(c, errors.New(f.Detail))
+	}
+	if f.Kind == wire.FailureKind_FAILURE_EVICTED {
+		r.releasePrefill("evicted")
+	}
+	return r.failAttempt(c.target.upstream, f.Kind, f.Detail)
+}
+
+func (r *runner) failAttempt(upstream string, kind wire.FailureKind, detail string) error {
+	r.record("attempt-failed", upstream, kind.String()+" "+detail)
+	return &attemptError{upstream: upstream, kind: kind, detail: detail}
+}
+
+// planRetry decides whether another attempt follows a failed one.
+func (r *runner) planRetry(f *attemptError) error {
+	waits := f.kind == wire.FailureKind_FAILURE_PREEMPTED
+	if f.upstream != "" && !waits && f.kind != wire.FailureKind_FAILURE_TRANSFER {
+		r.avoid[f.upstream] = true
+	}
+	if r.req.Delivered() > 0 {
+		// The held output covers the prompt only; what was delivered has to be
+		// computed again with it.
+		r.releasePrefill("resume")
+	}
+	if f.kind == wire.FailureKind_FAILURE_ENGINE_LOST {
+		r.req.Suspect = true
+	}
+	if !waits && int(r.req.Attempt()) >= maxAttempts {
+		return fault.New(fault.KindUpstreamFailed, "send the request again later",
+			"the request failed on %d upstreams", r.req.Attempt()).WithOutcome(fault.Unknown).WithCause(f)
+	}
+	r.entry.log.Warn("attempt failed; trying another upstream",
+		"request", r.req.ID, "attempt", r.req.Attempt(), "upstream", f.upstream, "kind", f.kind.String(), "detail", f.detail)
+	return nil
+}
+
+func (r *runner) closeReservations(reason string) {
+	for _, p := range r.pending {
+		p.close(cancelDecode(reason))
+	}
+	r.pending = nil
+	r.decode.close(cancelDecode(reason))
+	r.decode = nil
+}
+
+func (r *runner) closeAll(reason string) {
+	r.closeReservations(reason)
+	r.releasePrefill(reason)
+}
+
+func (r *runner) record(kind, upstream, detail string) {
+	r.entry.events.Record(r.req.ID, telemetry.Event{
+		Attempt:  r.req.Attempt(),
+		Kind:     kind,
+		Upstream: upstream,
+		Detail:   detail,
+	})
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,23 @@
+package telemetry
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// meterName names the instrumentation scope of all metrics.
+const meterName = "github.com/fescueslip/fescueslip"
+
+// NewMeter returns a meter whose instruments are read from the registry.
+func NewMeter() (metric.Meter, *prometheus.Registry, error) {
+	reg := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(reg))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "create metrics exporter")
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	return provider.Meter(meterName), reg, nil
+}
