--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,35 @@
+// Package cli holds the subcommands of the fescueslip binary.
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+// Main runs the subcommand that the arguments name and returns its exit code:
+// 0 success, 1 failure, 2 wrong usage or invalid settings.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range commands() {
+		subcommands.Register(c, "")
+	}
+	flag.Parse()
+	return int(subcommands.Execute(ctx))
+}
+
+func commands() []subcommands.Command {
+	return []subcommands.Command{
+		&Dump{},
+		&Explain{},
+		&Fairness{},
+		&Version{},
+	}
+}
--- /dev/null
+++ b/internal/cli/dump.go
@@ -0,0 +1,89 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/google/subcommands"
+)
+
+// Dump prints the state of one or more processes and points at disagreement
+// between them.
+type Dump struct {
+	admin adminFlag
+}
+
+// Name implements subcommands.Command.
+func (*Dump) Name() string { return "dump" }
+
+// Synopsis implements subcommands.Command.
+func (*Dump) Synopsis() string { return "print the state of processes and where they disagree" }
+
+// Usage implements subcommands.Command.
+func (*Dump) Usage() string {
+	return "dump [-admin host:port,…]\n  Prints {\"processes\": {address: state}, \"disagreements\": […], \"unreachable\": {address: reason}} as JSON.\n  Exit code 1 when a process cannot be reached.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (d *Dump) SetFlags(f *flag.FlagSet) { d.admin.register(f) }
+
+type dumpReport struct {
+	Processes     map[string]json.RawMessage `json:"processes"`
+	Disagreements []string                   `json:"disagreements"`
+	Unreachable   map[string]string          `json:"unreachable,omitempty"`
+}
+
+// Execute implements subcommands.Command.
+func (d *Dump) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	report := dumpReport{Processes: map[string]json.RawMessage{}, Unreachable: map[string]string{}, Disagreements: []string{}}
+	var states []*processState
+	for _, address := range d.admin.list() {
+		s, err := fetchState(ctx, address)
+		if err != nil {
+			report.Unreachable[address] = err.Error()
+			continue
+		}
+		report.Processes[address] = s.Raw
+		states = append(states, s)
+	}
+	report.Disagreements = append(report.Disagreements, disagreements(states)...)
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(report); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	if len(report.Unreachable) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// disagreements compares the configuration revisions and the incarnations that
+// the processes report.
+func disagreements(states []*processState) []string {
+	var list []string
+	var newest uint64
+	for _, s := range states {
+		newest = max(newest, s.ConfigRevision)
+	}
+	incarnations := map[string]*processState{}
+	for _, s := range states {
+		if s.ConfigRevision != newest {
+			list = append(list, fmt.Sprintf("%s has configuration revision %d; the newest here is %d", s.Instance, s.ConfigRevision, newest))
+		}
+		if s.Upstream == "" {
+			continue
+		}
+		if other, ok := incarnations[s.Upstream]; ok && other.Incarnation != s.Incarnation {
+			list = append(list, fmt.Sprintf("%s and %s both serve upstream %s", other.Instance, s.Instance, s.Upstream))
+		}
+		incarnations[s.Upstream] = s
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,7 @@
 	hints       hintTable
 	streams     streamCounter
 	prefillRate rateEstimate
+	accounts    accountTable
 	leaving     atomic.Bool
 	inFlight    sync.WaitGroup
 	handler     http.Handler
--- a/internal/entry/estimate.go
+++ b/internal/entry/estimate.go
@@ -53,4 +53,8 @@
 
 func (e *Entry) observeLength(*Request) {}
 
-func (e *Entry) observeFirstToken(*Request) {}
+func (e *Entry) observeFirstToken(req *Request) {
+	took := time.Since(req.Accepted)
+	e.accounts.of(req.Caller.Name).firstToken(took, time.Now().After(req.Deadline))
+	e.metrics.firstTokenAfter(took)
+}
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -88,29 +88,43 @@
 }
 
 func (e *Entry) generate(c *gin.Context, snap *config.Snapshot, req *Request, out *answer) {
+	account := e.accounts.of(req.Caller.Name)
+	account.offered.Add(1)
 	ctx, cancel := context.WithTimeoutCause(c.Request.Context(), e.limits.RequestTimeout, errRequestTimeout)
 	defer cancel()
 	r := e.newRunner(ctx, req, out, snap)
 	err := r.run()
+	account.promptTokens.Add(int64(req.PromptTokens))
+	account.outputTokens.Add(int64(req.Delivered()))
 	e.metrics.finished(c.Request.Context(), req, err)
-	if err == nil {
+	switch {
+	case err == nil:
+		account.finished.Add(1)
 		e.observeLength(req)
 		e.log.Info("request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
 			"prompt_tokens", req.PromptTokens, "output_tokens", req.Delivered(), "revision", snap.Revision,
 			"duration", time.Since(req.Accepted))
-		return
-	}
-	if c.Request.Context().Err() != nil {
+	case c.Request.Context().Err() != nil:
+		account.cancelled.Add(1)
 		r.record("cancelled", "", "the caller left")
 		e.log.Info("caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
-		return
+	default:
+		e.reportFailure(c, r, account, err)
 	}
+}
+
+func (e *Entry) reportFailure(c *gin.Context, r *runner, account *account, err error) {
 	f := r.faultOf(err)
+	if f.Outcome == fault.NotRun {
+		account.refused.Add(1)
+	} else {
+		account.failed.Add(1)
+	}
 	r.record("failed", "", string(f.Kind))
 	e.metrics.refused(c.Request.Context(), f.Kind)
-	e.log.Warn("request not answered", "request", req.ID, "caller", req.Caller.Name, "kind", f.Kind,
-		"outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
-	out.Fail(f)
+	e.log.Warn("request not answered", "request", r.req.ID, "caller", r.req.Caller.Name, "attempts", r.req.Attempt(),
+		"kind", f.Kind, "outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
+	r.out.Fail(f)
 }
 
 // faultOf makes the error that the caller sees. A request that was granted may
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,3 +43,16 @@
 	}
 	return *h, true
 }
+
+// all returns the hints ordered by upstream.
+func (t *hintTable) all() []hint {
+	var list []hint
+	t.byUpstream.Range(func(_, p any) bool {
+		if h := p.(*atomic.Pointer[hint]).Load(); h != nil {
+			list = append(list, *h)
+		}
+		return true
+	})
+	slices.SortFunc(list, func(a, b hint) int { return strings.Compare(a.load.Upstream, b.load.Upstream) })
+	return list
+}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -76,3 +76,9 @@
 	m.tokens.Add(ctx, int64(req.Delivered()))
 	m.duration.Record(ctx, time.Since(req.Accepted).Seconds())
 }
+
+func (m *Metrics) firstTokenAfter(took time.Duration) {
+	if m != nil {
+		m.firstToken.Record(context.Background(), took.Seconds())
+	}
+}
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -233,6 +233,9 @@
 		return nil
 	}
 	r.decode = c
+	if !r.accepted {
+		r.entry.accounts.of(r.req.Caller.Name).granted(time.Since(r.req.Accepted))
+	}
 	r.accepted = true
 	r.record("granted", c.target.upstream, (time.Duration(g.FreeInMs) * time.Millisecond).String())
 	for _, p := range r.pending {
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,214 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/platform"
+)
+
+// Key is the key of the record in the key-value service.
+const Key = "fescueslip/quarantine"
+
+const (
+	// flushRetry is the pause after a failed write.
+	flushRetry = 500 * time.Millisecond
+	// watchRetry is the pause after a failed read.
+	watchRetry = time.Second
+	maxOps     = 4096
+)
+
+// op changes a record and reports whether it did.
+type op func(*Record) bool
+
+// Keeper holds a process's copy of the record and writes changes to the
+// key-value service, many in one write. Local changes count at once: a crash
+// that this process saw is known here even while the service is down.
+type Keeper struct {
+	kv  platform.KV
+	log *log.Logger
+
+	current atomic.Pointer[Record]
+
+	mu      sync.Mutex
+	stored  *Record // the newest record read from the service
+	index   uint64
+	pending []op
+	wake    chan struct{}
+}
+
+// NewKeeper returns a keeper with an empty record.
+func NewKeeper(kv platform.KV, logger *log.Logger) *Keeper {
+	k := &Keeper{kv: kv, log: logger, stored: new(Record), wake: make(chan struct{}, 1)}
+	k.current.Store(new(Record))
+	return k
+}
+
+// Verdict returns how a request with the fingerprint may run. It takes no lock.
+func (k *Keeper) Verdict(f Fingerprint) Verdict { return k.current.Load().Verdict(f) }
+
+// ReportCrash notes a crash and returns the verdict that follows.
+func (k *Keeper) ReportCrash(f Fingerprint, upstream string) Verdict {
+	k.apply(func(r *Record) bool { return r.ReportCrash(f, upstream) })
+	v := k.Verdict(f)
+	if v == Quarantined {
+		name, _ := f.MarshalText()
+		k.log.Error("request quarantined: two upstreams crashed while they ran it", "fingerprint", string(name), "upstream", upstream)
+	}
+	return v
+}
+
+// Acquit notes that a suspect ran to its end.
+func (k *Keeper) Acquit(f Fingerprint) { k.apply(func(r *Record) bool { return r.Acquit(f) }) }
+
+// Record returns the current copy; it must not be changed.
+func (k *Keeper) Record() *Record { return k.current.Load() }
+
+func (k *Keeper) apply(change op) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	next := k.current.Load().clone()
+	if !change(next) {
+		return
+	}
+	k.current.Store(next)
+	if len(k.pending) < maxOps {
+		k.pending = append(k.pending, change)
+	}
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// adopt takes a record from the service and applies the pending changes on top.
+func (k *Keeper) adopt(e platform.Entry) error {
+	r, err := decode(e.Value)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e.Index < k.index {
+		return nil
+	}
+	k.stored, k.index = r, e.Index
+	next := r.clone()
+	for _, change := range k.pending {
+		change(next)
+	}
+	k.current.Store(next)
+	return nil
+}
+
+// Refresh reads the record once.
+func (k *Keeper) Refresh(ctx context.Context) error {
+	e, err := k.kv.Get(ctx, Key)
+	if err != nil {
+		return err
+	}
+	return k.adopt(e)
+}
+
+// Flush writes the pending changes. After a lost acknowledgement it reads the
+// record back; applying a change again is harmless.
+func (k *Keeper) Flush(ctx context.Context) error {
+	for {
+		value, index, count, err := k.nextWrite()
+		if err != nil || count == 0 {
+			return err
+		}
+		if value != nil {
+			ok, err := k.kv.CompareAndSwap(ctx, Key, value, index)
+			if err != nil {
+				return errors.Wrap(err, "write quarantine record")
+			}
+			if !ok {
+				if err := k.Refresh(ctx); err != nil {
+					return err
+				}
+				continue
+			}
+		}
+		k.dropPending(count)
+		if err := k.Refresh(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// nextWrite returns the value to write, or nil when the pending changes are
+// already part of the stored record.
+func (k *Keeper) nextWrite() (value []byte, index uint64, count int, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	next := k.stored.clone()
+	changed := false
+	for _, change := range k.pending {
+		if change(next) {
+			changed = true
+		}
+	}
+	if !changed {
+		return nil, k.index, len(k.pending), nil
+	}
+	value, err = next.encode()
+	return value, k.index, len(k.pending), err
+}
+
+func (k *Keeper) dropPending(count int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending = k.pending[count:]
+}
+
+// RunWriter writes changes until ctx ends; only processes that report crashes need it.
+func (k *Keeper) RunWriter(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-k.wake:
+		}
+		for k.Flush(ctx) != nil {
+			if !sleep(ctx, flushRetry) {
+				return nil
+			}
+			// The record may have moved on while the service was away.
+			_ = k.Refresh(ctx)
+		}
+	}
+}
+
+// RunWatcher follows the record until ctx ends.
+func (k *Keeper) RunWatcher(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		after := k.index
+		k.mu.Unlock()
+		e, err := k.kv.Watch(ctx, Key, after)
+		if err == nil {
+			err = k.adopt(e)
+		}
+		if err != nil && !sleep(ctx, watchRetry) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
