--- /dev/null
+++ b/internal/standin/kvstore/kvmem/kvmem.go
@@ -0,0 +1,47 @@
+// Package kvmem lets tests use the stand-in key-value service as a platform.KV
+// without HTTP.
+package kvmem
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
+)
+
+// KV is a client of a store in the same process.
+type KV struct{ store *kvstore.Store }
+
+var _ platform.KV = KV{}
+
+// New returns a client of store.
+func New(store *kvstore.Store) KV { return KV{store: store} }
+
+// Get implements platform.KV.
+func (k KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	return convert(k.store.Get(ctx, key))
+}
+
+// CompareAndSwap implements platform.KV.
+func (k KV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	ok, err := k.store.CompareAndSwap(ctx, key, value, index)
+	return ok, unavailable(err)
+}
+
+// Watch implements platform.KV.
+func (k KV) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+	return convert(k.store.Watch(ctx, key, after, 0))
+}
+
+func convert(e kvstore.Entry, err error) (platform.Entry, error) {
+	return platform.Entry(e), unavailable(err)
+}
+
+func unavailable(err error) error {
+	if err == nil || errors.Is(err, kvstore.ErrTooLarge) {
+		return err
+	}
+	return errors.Join(platform.ErrUnavailable, err)
+}
