Choose upstreams by the policy packages; run suspects at one place

Copies of a request that crashed an engine meet at the sidecar that follows from their fingerprint, so that at most one more engine can crash.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -1,98 +1,152 @@
 package entry
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strconv"
+	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/policy/choose"
+	"github.com/fescueslip/fescueslip/internal/policy/reserve"
 )
 
-// targets returns the upstreams of a pool that may get new work. Load hints go
-// before the platform's list, which lags: a sidecar that announced its leaving
-// on a reply gets nothing new.
+// targets returns the upstreams of this entry's subset of a pool that may get
+// new work. A load hint takes precedence over the platform's list, which lags:
+// a sidecar that announced its leaving on a reply gets nothing new.
+// Suspect members are used only when no other is left.
 func (e *Entry) targets(snap *config.Snapshot, pool string, avoid map[string]bool) []target {
-	var list []target
-	for _, u := range snap.PoolMembers(pool) {
-		m, ok := e.members.Upstream(u.Name)
-		if !ok || avoid[u.Name] || !m.State.AcceptsWork() {
+	var serving, suspect []target
+	for _, name := range e.subsets.of(snap, e.members, e.instance, pool) {
+		m, ok := e.members.Upstream(name)
+		if !ok || avoid[name] || !m.State.AcceptsWork() || e.leavingByHint(name, m) {
 			continue
 		}
-		if h, ok := e.hints.get(u.Name); ok && h.load.Leaving && h.load.Incarnation == m.Incarnation {
+		t := target{upstream: name, member: m}
+		if m.State == membership.Suspect {
+			suspect = append(suspect, t)
 			continue
 		}
-		list = append(list, target{upstream: u.Name, member: m})
+		serving = append(serving, t)
 	}
-	return list
+	if len(serving) == 0 {
+		return suspect
+	}
+	return serving
+}
+
+func (e *Entry) leavingByHint(upstream string, m membership.Member) bool {
+	h, ok := e.hints.get(upstream)
+	return ok && h.load.Leaving && h.load.Incarnation == m.Incarnation
 }
 
-// decodeCandidates orders the decode upstreams by their hinted wait and load.
+// decodeCandidates returns the decode upstreams in the order in which to ask
+// them: the two that the policy chooses, then the others at random.
 func (e *Entry) decodeCandidates(snap *config.Snapshot, req *Request, avoid map[string]bool) []target {
 	list := e.targets(snap, req.Model.DecodePool, avoid)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b target) int { return cmp.Compare(e.decodeScore(a), e.decodeScore(b)) })
-	return list
+	if req.Suspect {
+		return suspectOrder(req, list)
+	}
+	candidates := make([]choose.Decode, len(list))
+	for i, t := range list {
+		candidates[i] = e.decodeCandidate(t)
+	}
+	need := choose.DecodeNeed{
+		Chunks: reserve.Chunks(req.PrefillTokens() + int(e.predict(req))),
+		Domain: e.domain,
+	}
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	first, second := choose.DecodeUpstreams(candidates, need, rnd)
+	return frontTwo(list, first, second)
 }
 
-const suspectPenalty = 1e6
+// frontTwo moves two elements to the front of list.
+func frontTwo(list []target, first, second int) []target {
+	if first < 0 {
+		return list
+	}
+	out := make([]target, 0, len(list))
+	out = append(out, list[first])
+	if second >= 0 {
+		out = append(out, list[second])
+	}
+	for i, t := range list {
+		if i != first && i != second {
+			out = append(out, t)
+		}
+	}
+	return out
+}
 
-func (e *Entry) decodeScore(t target) float64 {
-	score := 0.0
-	if t.member.State == membership.Suspect {
-		score += suspectPenalty
+// suspectOrder returns the one upstream at which a suspect may run. It follows
+// from the fingerprint alone, so that copies of the request that were sent
+// through other entries meet at the same sidecar, which runs them one at a time
+// and remembers the crash.
+func suspectOrder(req *Request, list []target) []target {
+	at := choose.Rendezvous(xxhash.Sum64(req.Fingerprint[:]), list, targetName)
+	if at < 0 {
+		return nil
 	}
+	return list[at : at+1]
+}
+
+func targetName(t target) string { return t.upstream }
+
+func (e *Entry) decodeCandidate(t target) choose.Decode {
+	c := choose.Decode{Name: t.upstream, Domain: t.member.FailureDomain, Age: unknownHintAge}
 	h, ok := e.hints.get(t.upstream)
 	if !ok {
-		return score
+		return c
 	}
-	score += float64(h.load.WaitMs)
-	if h.load.Slots > 0 {
-		score += 100 * float64(h.load.Running+h.load.Queued) / float64(h.load.Slots)
-	}
-	return score
+	c.Wait = time.Duration(h.load.WaitMs) * time.Millisecond
+	c.Slots = int(h.load.Slots)
+	c.FreeSlots = int(h.load.Slots - min(h.load.Slots, h.load.Running))
+	c.FreeChunks = int(h.load.FreeChunks)
+	c.Age = time.Since(h.at)
+	c.Sent = e.hints.sentSince(t.upstream)
+	return c
 }
 
-// prefillCandidate picks the prefill upstream by rendezvous hashing of the
-// prompt's beginning, so that shared prefixes meet a warm cache, and passes over
-// an upstream whose queue is much longer than the shortest.
-func (e *Entry) prefillCandidate(snap *config.Snapshot, req *Request, _ target, avoid map[string]bool) (target, bool) {
+// unknownHintAge marks an upstream that no hint is known of.
+const unknownHintAge = time.Hour
+
+// prefillCandidate picks the prefill upstream by the policy's weighing of queue,
+// cached prefix and distance. near is where the output will be decoded.
+func (e *Entry) prefillCandidate(snap *config.Snapshot, req *Request, near target, avoid map[string]bool) (target, bool) {
 	list := e.targets(snap, req.Model.PrefillPool, avoid)
+	slices.SortFunc(list, func(a, b target) int { return strings.Compare(a.upstream, b.upstream) })
 	if len(list) == 0 {
 		return target{}, false
 	}
-	prefix := prefixKey(req.Prompt)
-	slices.SortFunc(list, func(a, b target) int {
-		return cmp.Compare(rendezvousWeight(prefix, b.upstream), rendezvousWeight(prefix, a.upstream))
-	})
-	shortest := slices.MinFunc(list, func(a, b target) int { return cmp.Compare(e.queueWait(a), e.queueWait(b)) })
-	for _, t := range list {
-		if e.queueWait(t) <= e.queueWait(shortest)+affinityWaitMs {
-			return t, true
+	if req.Suspect {
+		return suspectOrder(req, list)[0], true
+	}
+	hashes := req.prefixHashes()
+	candidates := make([]choose.Prefill, len(list))
+	for i, t := range list {
+		candidates[i] = choose.Prefill{
+			Name:         t.upstream,
+			Domain:       t.member.FailureDomain,
+			Age:          unknownHintAge,
+			CachedTokens: e.cache.cached(t.upstream, hashes),
+		}
+		if h, ok := e.hints.get(t.upstream); ok {
+			candidates[i].Wait = time.Duration(h.load.WaitMs) * time.Millisecond
+			candidates[i].Age = time.Since(h.at)
 		}
 	}
-	return shortest, true
-}
-
-// affinityWaitMs is how much longer a queue may be than the shortest before
-// prefix affinity yields; a cached prefix saves about this much prefill.
-const affinityWaitMs = 150
-
-func (e *Entry) queueWait(t target) uint64 {
-	if h, ok := e.hints.get(t.upstream); ok {
-		return h.load.WaitMs
+	at := choose.PrefillUpstream(candidates, choose.Prompt{
+		Tokens: req.PrefillTokens(),
+		Hashes: hashes,
+		Rate:   e.prefillRate.rate(),
+		Domain: near.member.FailureDomain,
+	})
+	if at < 0 {
+		return target{}, false
 	}
-	return 0
-}
-
-// prefixBytes is the length of the prompt's beginning that decides affinity.
-const prefixBytes = 2048
-
-func prefixKey(prompt string) string { return prompt[:min(len(prompt), prefixBytes)] }
-
-func rendezvousWeight(key, upstream string) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(len(upstream)) + upstream + key)
+	return list[at], true
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
@@ -60,14 +61,15 @@
 	Config        config.Source
 	Members       membership.View
 	// Client reaches sidecars; see wire.NewClient.
-	Client   *http.Client
-	Secret   string
-	Plain    PlainRouter
-	Outcomes OutcomeLookup
-	Limits   Limits
-	Events   *telemetry.FlightLog
-	Metrics  *Metrics
-	Logger   *log.Logger
+	Client     *http.Client
+	Secret     string
+	Plain      PlainRouter
+	Outcomes   OutcomeLookup
+	Quarantine *quarantine.Keeper
+	Limits     Limits
+	Events     *telemetry.FlightLog
+	Metrics    *Metrics
+	Logger     *log.Logger
 }
 
 // Entry serves callers.
@@ -89,6 +91,11 @@
 	streams     streamCounter
 	prefillRate rateEstimate
 	accounts    accountTable
+	lengths     *lengths
+	cache       *prefixCache
+	retries     retries
+	subsets     subsetCache
+	quarantine  *quarantine.Keeper
 	leaving     atomic.Bool
 	inFlight    sync.WaitGroup
 	handler     http.Handler
@@ -109,6 +116,10 @@
 		events:   o.Events,
 		metrics:  o.Metrics,
 		log:      o.Logger,
+
+		lengths:    newLengths(),
+		cache:      newPrefixCache(),
+		quarantine: o.Quarantine,
 	}
 	e.handler = e.routes()
 	return e
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -16,28 +16,45 @@
 	at   time.Time
 }
 
+// upstreamHints is the newest hint of one upstream and the number of requests
+// that this entry sent there since.
+type upstreamHints struct {
+	newest atomic.Pointer[hint]
+	sent   atomic.Int64
+}
+
 // hintTable keeps the newest hint of each upstream. Reading takes no lock.
 type hintTable struct {
-	byUpstream sync.Map // string → *atomic.Pointer[hint]
+	byUpstream sync.Map // string → *upstreamHints
+}
+
+func (t *hintTable) of(upstream string) *upstreamHints {
+	if u, ok := t.byUpstream.Load(upstream); ok {
+		return u.(*upstreamHints)
+	}
+	u, _ := t.byUpstream.LoadOrStore(upstream, new(upstreamHints))
+	return u.(*upstreamHints)
 }
 
 func (t *hintTable) note(l *wire.Load) {
 	if l == nil || l.Upstream == "" {
 		return
 	}
-	p, ok := t.byUpstream.Load(l.Upstream)
-	if !ok {
-		p, _ = t.byUpstream.LoadOrStore(l.Upstream, new(atomic.Pointer[hint]))
-	}
-	p.(*atomic.Pointer[hint]).Store(&hint{load: l, at: time.Now()})
+	u := t.of(l.Upstream)
+	u.newest.Store(&hint{load: l, at: time.Now()})
+	u.sent.Store(0)
 }
 
+func (t *hintTable) noteSent(upstream string) { t.of(upstream).sent.Add(1) }
+
+func (t *hintTable) sentSince(upstream string) int { return int(t.of(upstream).sent.Load()) }
+
 func (t *hintTable) get(upstream string) (hint, bool) {
-	p, ok := t.byUpstream.Load(upstream)
+	u, ok := t.byUpstream.Load(upstream)
 	if !ok {
 		return hint{}, false
 	}
-	h := p.(*atomic.Pointer[hint]).Load()
+	h := u.(*upstreamHints).newest.Load()
 	if h == nil {
 		return hint{}, false
 	}
@@ -48,7 +65,7 @@
 func (t *hintTable) all() []hint {
 	var list []hint
 	t.byUpstream.Range(func(_, p any) bool {
-		if h := p.(*atomic.Pointer[hint]).Load(); h != nil {
+		if h := p.(*upstreamHints).newest.Load(); h != nil {
 			list = append(list, *h)
 		}
 		return true
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,17 +15,25 @@
 	if len(r.prefillTried) >= maxPrefillsPerAttempt {
 		return r.noPrefill("too many prefill upstreams failed")
 	}
-	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillTried)
+	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillAvoid())
 	if !ok {
 		return r.noPrefill("no prefill upstream is available")
 	}
 	r.prefillTried[t.upstream] = true
 	r.prefillBegan = time.Now()
 	r.prefill = r.openPrefill(t)
+	r.entry.hints.noteSent(t.upstream)
 	r.record("prefill", t.upstream, "")
 	return nil
 }
 
+// prefillAvoid returns the upstreams that failed this request.
+func (r *runner) prefillAvoid() map[string]bool {
+	avoid := maps.Clone(r.avoid)
+	maps.Copy(avoid, r.prefillTried)
+	return avoid
+}
+
 // noPrefill gives the reservation back: a decode slot must not wait for a
 // prefill that cannot start.
 func (r *runner) noPrefill(detail string) error {
@@ -42,10 +51,16 @@
 		if b.Refused.Kind == wire.RefusalKind_REFUSAL_TOO_LARGE {
 			return fault.New(fault.KindPromptTooLong, "shorten the prompt", "%s", b.Refused.Detail)
 		}
+		if b.Refused.Kind == wire.RefusalKind_REFUSAL_SUSPECT && !r.req.Suspect {
+			return r.becomeSuspect(c.target.upstream)
+		}
 		return r.prefillLost(c, "refused: "+b.Refused.Kind.String())
 	case *wire.PrefillReply_Failed:
 		if b.Failed.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
-			r.req.Suspect = true
+			r.entry.cache.forget(c.target.upstream)
+			if err := r.crashed(c.target.upstream); err != nil {
+				return err
+			}
 		}
 		return r.prefillLost(c, b.Failed.Kind.String()+" "+b.Failed.Detail)
 	}
@@ -75,6 +90,7 @@
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
 	r.ready = ready
 	r.entry.prefillRate.observe(ready.Tokens-min(ready.Tokens, ready.CachedTokens), time.Since(r.prefillBegan))
+	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
 	r.record("prefilled", c.target.upstream, "")
 	if r.decode == nil {
 		return nil
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,12 +9,10 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
-// fingerprintBytes is the length of a request's fingerprint.
-const fingerprintBytes = 16
-
 // errGap reports that a sidecar skipped output; the attempt is given up so that
 // the caller never gets an answer with a hole.
 var errGap = errors.New("output has a gap")
@@ -32,7 +30,7 @@
 	MaxTokens    int
 	Stop         []string
 	Sampling     string
-	Fingerprint  [fingerprintBytes]byte
+	Fingerprint  quarantine.Fingerprint
 	Accepted     time.Time
 	Deadline     time.Time // the first-token target
 	Suspect      bool
@@ -40,6 +38,7 @@
 	attempt   uint32
 	next      uint64
 	delivered strings.Builder
+	hashes    []uint64
 }
 
 // NextAttempt starts a new attempt; output of earlier ones is dropped from now on.
@@ -99,13 +98,13 @@
 
 // fingerprintOf identifies a request by what the engines run, so that the same
 // request sent again, through any entry, has the same fingerprint.
-func fingerprintOf(model, prompt string, maxTokens int) [fingerprintBytes]byte {
+func fingerprintOf(model, prompt string, maxTokens int) quarantine.Fingerprint {
 	h := sha256.New()
 	h.Write([]byte(model))
 	h.Write([]byte{0})
 	h.Write([]byte(prompt))
 	_ = binary.Write(h, binary.LittleEndian, int64(maxTokens))
-	return [fingerprintBytes]byte(h.Sum(nil)[:fingerprintBytes])
+	return quarantine.Fingerprint(h.Sum(nil)[:len(quarantine.Fingerprint{})])
 }
 
 // countTokens estimates the tokens of a text by the rule of the engine API.
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -80,10 +81,14 @@
 // run returns nil when the caller has the whole answer.
 func (r *runner) run() error {
 	defer r.closeAll("request ended")
+	if err := r.checkQuarantine(); err != nil {
+		return err
+	}
 	delay := retryDelay
 	for {
 		err := r.attempt()
 		if errors.Is(err, errFinished) {
+			r.acquit()
 			return nil
 		}
 		var failed *attemptError
@@ -93,6 +98,9 @@
 		if err := r.planRetry(failed); err != nil {
 			return err
 		}
+		if !r.entry.retries.allow(r.snap.Policy.RetryBudget, r.req.Caller.Name, failed.upstream) {
+			delay = maxRetryDelay
+		}
 		if !r.sleep(delay) {
 			return context.Cause(r.ctx)
 		}
@@ -100,6 +108,23 @@
 	}
 }
 
+func (r *runner) checkQuarantine() error {
+	switch r.entry.quarantine.Verdict(r.req.Fingerprint) {
+	case quarantine.Quarantined:
+		return quarantinedFault()
+	case quarantine.Suspect:
+		r.req.Suspect = true
+	}
+	return nil
+}
+
+// acquit clears the suspicion of a request that ran to its end.
+func (r *runner) acquit() {
+	if r.req.Suspect {
+		r.entry.quarantine.Acquit(r.req.Fingerprint)
+	}
+}
+
 func (r *runner) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -164,6 +189,7 @@
 	t := r.candidates[0]
 	r.candidates = r.candidates[1:]
 	r.pending = append(r.pending, r.openDecode(t))
+	r.entry.hints.noteSent(t.upstream)
 	r.record("reserve", t.upstream, "")
 }
 
@@ -234,6 +260,7 @@
 	}
 	r.decode = c
 	if !r.accepted {
+		r.entry.retries.first(r.snap.Policy.RetryBudget, r.req.Caller.Name, c.target.upstream)
 		r.entry.accounts.of(r.req.Caller.Name).granted(time.Since(r.req.Accepted))
 	}
 	r.accepted = true
@@ -257,8 +284,8 @@
 		r.decode = nil
 	}
 	r.dropPending(c, "refused")
-	if f.Kind == wire.RefusalKind_REFUSAL_SUSPECT {
-		r.req.Suspect = true
+	if f.Kind == wire.RefusalKind_REFUSAL_SUSPECT && !r.req.Suspect {
+		return r.becomeSuspect(c.target.upstream)
 	}
 	r.reserveNext()
 	return r.checkPending()
@@ -305,9 +332,39 @@
 	if f.Kind == wire.FailureKind_FAILURE_EVICTED {
 		r.releasePrefill("evicted")
 	}
+	if f.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
+		if err := r.crashed(c.target.upstream); err != nil {
+			return err
+		}
+	}
 	return r.failAttempt(c.target.upstream, f.Kind, f.Detail)
 }
 
+// crashed notes that an engine died while it ran the request. After the second
+// engine the request is quarantined and must not run again.
+func (r *runner) crashed(upstream string) error {
+	r.req.Suspect = true
+	r.avoid[upstream] = true
+	if r.entry.quarantine.ReportCrash(r.req.Fingerprint, upstream) != quarantine.Quarantined {
+		return nil
+	}
+	r.record("quarantined", upstream, "")
+	return quarantinedFault().WithOutcome(fault.Unknown)
+}
+
+// becomeSuspect starts over as a suspect after a sidecar reported that its
+// engine died with this request in flight, sent by somebody else.
+func (r *runner) becomeSuspect(upstream string) error {
+	r.req.Suspect = true
+	r.avoid[upstream] = true
+	return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: "the request is a suspect at " + upstream}
+}
+
+func quarantinedFault() *fault.Error {
+	return fault.New(fault.KindQuarantined, "change the request; ask the operator to lift the quarantine if it is harmless",
+		"upstreams crashed while they ran this request, so it is not run again")
+}
+
 func (r *runner) failAttempt(upstream string, kind wire.FailureKind, detail string) error {
 	r.record("attempt-failed", upstream, kind.String()+" "+detail)
 	return &attemptError{upstream: upstream, kind: kind, detail: detail}
@@ -324,9 +381,6 @@
 		// computed again with it.
 		r.releasePrefill("resume")
 	}
-	if f.kind == wire.FailureKind_FAILURE_ENGINE_LOST {
-		r.req.Suspect = true
-	}
 	if !waits && int(r.req.Attempt()) >= maxAttempts {
 		return fault.New(fault.KindUpstreamFailed, "send the request again later",
 			"the request failed on %d upstreams", r.req.Attempt()).WithOutcome(fault.Unknown).WithCause(f)
