--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -17,6 +17,7 @@
 type Table struct {
 	mu      sync.Mutex
 	byName  map[string]Member
+	listed  map[string]bool // names on the platform's list when it was last read
 	current atomic.Pointer[tableView]
 }
 
@@ -100,8 +101,9 @@
 	return changed
 }
 
-// ApplyList merges the platform's list. Members that the list no longer has
-// are gone: the list lags, but it does not forget a live instance.
+// ApplyList merges the platform's list. A member that the list had and no longer
+// has is gone. One that the list never had is kept: the list lags, and peers
+// may know a new process before it.
 func (t *Table) ApplyList(list []platform.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,12 +116,13 @@
 		}
 	}
 	for name, m := range t.byName {
-		if !listed[name] && m.State != Gone {
+		if t.listed[name] && !listed[name] && m.State != Gone {
 			m.State = Gone
 			t.byName[name] = m
 			changed = true
 		}
 	}
+	t.listed = listed
 	if changed {
 		t.publish()
 	}
