Add plain services: router and sidecar

The entry forwards calls to sidecars over h2c, retries and hedges repeatable calls within a budget, and submits a non-repeatable call at most once: it moves on to another upstream only when no byte can have left or the sidecar says that it did not submit the call.

--- /dev/null
+++ b/internal/plain/fleet_test.go
@@ -0,0 +1,164 @@
+package plain
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const testSecret = "peer-secret"
+
+var testCaller = &config.Caller{Name: "bakery", Share: 1}
+
+// fakeView is a membership.View whose states tests set.
+type fakeView struct {
+	mu      sync.Mutex
+	members map[string]membership.Member
+}
+
+func (v *fakeView) Members() []membership.Member { return nil }
+
+func (v *fakeView) Upstream(name string) (membership.Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m, ok := v.members[name]
+	return m, ok
+}
+
+func (v *fakeView) Report(name string, _ uint64, state membership.State) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for upstream, m := range v.members {
+		if m.Name == name {
+			m.State = state
+			v.members[upstream] = m
+		}
+	}
+}
+
+// fleet is an entry with sidecars and services on an in-memory network.
+type fleet struct {
+	t        *testing.T
+	net      *memnet.Network
+	view     *fakeView
+	router   *Router
+	policy   config.Policy
+	sidecars map[string]*Sidecar
+	mu       sync.Mutex
+	runs     map[string]int // executions by path
+	serve    map[string]http.HandlerFunc
+	closers  []func()
+}
+
+// inFleet runs a test in virtual time with n services "s0", "s1", ….
+func inFleet(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{
+			t: t, net: memnet.New(0), view: &fakeView{members: map[string]membership.Member{}},
+			policy: config.DefaultPolicy(), sidecars: map[string]*Sidecar{},
+			runs: map[string]int{}, serve: map[string]http.HandlerFunc{},
+		}
+		client := wire.NewClient(f.net.Dial)
+		f.router = NewRouter(RouterOptions{Config: f, Members: f.view, Client: client, Secret: testSecret, FailureDomain: "a"})
+		for i := range n {
+			f.addService(fmt.Sprintf("s%d", i))
+		}
+		defer func() {
+			client.CloseIdleConnections()
+			for _, c := range f.closers {
+				c()
+			}
+			time.Sleep(time.Minute) // lets abandoned handlers end
+		}()
+		test(t, f)
+	})
+}
+
+// Snapshot implements config.Source.
+func (f *fleet) Snapshot() *config.Snapshot {
+	o := config.Objects{Policy: &f.policy}
+	for name := range f.sidecars {
+		o.Upstreams = append(o.Upstreams, &config.Upstream{Name: name, Pool: "orders", Kind: config.UpstreamService})
+	}
+	o.Routes = []*config.Route{
+		{Name: "status", Prefix: "/orders/status", Pool: "orders", Repeatable: true, Timeout: 6 * time.Second},
+		{Name: "book", Prefix: "/orders/book", Methods: []string{"POST", "GET"}, Pool: "orders", Timeout: 6 * time.Second},
+	}
+	return config.Build(1, o)
+}
+
+func (f *fleet) addService(name string) {
+	f.listen(name+":80", &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		f.mu.Lock()
+		f.runs[r.URL.Path]++
+		serve := f.serve[name]
+		f.mu.Unlock()
+		if serve != nil {
+			serve(w, r)
+			return
+		}
+		_, _ = fmt.Fprintf(w, "%s %s", r.Method, body)
+	})})
+	s := NewSidecar(SidecarOptions{Upstream: name, Target: &url.URL{Scheme: "http", Host: name + ":80"}, Dial: f.net.Dial})
+	f.sidecars[name] = s
+	f.closers = append(f.closers, s.transport.CloseIdleConnections)
+	f.listen(name+":1", wire.NewServer(wire.RequireSecret(testSecret, s.Handler())))
+	f.view.members[name] = membership.Member{
+		Name: "sidecar-" + name, Role: "sidecar", Upstream: name, FailureDomain: "a",
+		PeerAddress: name + ":1", State: membership.Serving,
+	}
+}
+
+func (f *fleet) listen(addr string, srv *http.Server) {
+	l, err := f.net.Listen(addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(l) }()
+	f.closers = append(f.closers, func() { _ = srv.Close() })
+}
+
+func (f *fleet) executions(path string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[path]
+}
+
+// call sends one call through the router, without a server in between.
+func (f *fleet) call(method, path, body string, headers ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(f.t.Context(), method, path, bytes.NewReader([]byte(body)))
+	r.Header.Set("Authorization", "Bearer caller-key")
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.router.ServeCall(w, r, testCaller, "req-1")
+	return w
+}
+
+// overHTTP serves the router on the network and returns a client for callers.
+func (f *fleet) overHTTP() *http.Client {
+	f.listen("entry:80", wire.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.router.ServeCall(w, r, testCaller, "req-1")
+	})))
+	tr := &http.Transport{DialContext: func(ctx context.Context, n, a string) (net.Conn, error) { return f.net.Dial(ctx, n, a) }}
+	f.closers = append(f.closers, tr.CloseIdleConnections)
+	return &http.Client{Transport: tr, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
--- /dev/null
+++ b/internal/plain/plain_test.go
@@ -0,0 +1,309 @@
+package plain
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/membership"
+)
+
+func wantRefusal(t *testing.T, w *httptest.ResponseRecorder, status int, outcome fault.Outcome) {
+	t.Helper()
+	if w.Code != status || w.Header().Get(fault.OutcomeHeader) != string(outcome) {
+		t.Fatalf("got %d %q (%s), want %d %q", w.Code, w.Header().Get(fault.OutcomeHeader), w.Body, status, outcome)
+	}
+}
+
+// Guards against leaking the caller's key to a service or the peer secret to
+// anyone, and against forged headers of the system.
+func TestHeadersOnEachHop(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		var seen http.Header
+		f.serve["s0"] = func(w http.ResponseWriter, r *http.Request) {
+			seen = r.Header.Clone()
+			w.Header().Set("Connection", "X-Local")
+			w.Header().Set("X-Local", "1")
+			w.Header().Set("X-Kept", "1")
+			w.Header().Set(headerVerdict, "refused")
+			w.Header().Set(headerLeaving, "1")
+			w.WriteHeader(http.StatusFound)
+		}
+		w := f.call("POST", "/orders/book", "x",
+			"Connection", "X-Private, close", "X-Private", "1", "Proxy-Authorization", "p", "Te", "gzip, trailers",
+			"X-End", "kept", HeaderUpstreamAuthorization, "Basic s", headerRepeatable, "1", HeaderCaller, "forged",
+			"Idempotency-Key-Hint", "h", "X-Forwarded-For", "9.9.9.9")
+		if w.Code != http.StatusFound || w.Header().Get("X-Kept") != "1" || w.Header().Get("X-Local") != "" {
+			t.Fatalf("response %d %v", w.Code, w.Header())
+		}
+		if f.view.members["s0"].State != membership.Serving || w.Header().Get(headerVerdict) != "" {
+			t.Fatal("a service's own Fescueslip header was believed or passed on")
+		}
+		want := map[string]string{
+			"Authorization": "Basic s", "X-Private": "", "Proxy-Authorization": "", "Te": "trailers", "X-End": "kept",
+			HeaderCaller: "bakery", headerRepeatable: "", HeaderUpstreamAuthorization: "", headerUpstream: "",
+			"X-Forwarded-For": "9.9.9.9, 192.0.2.1", "X-Forwarded-Host": "example.com", "User-Agent": "",
+		}
+		for name, value := range want {
+			if got := seen.Get(name); got != value {
+				t.Errorf("service saw %s: %q, want %q", name, got, value)
+			}
+		}
+		for name, values := range seen {
+			if strings.Contains(strings.Join(values, ""), testSecret) || strings.Contains(strings.Join(values, ""), "caller-key") {
+				t.Errorf("%s leaks a secret to the service", name)
+			}
+		}
+	})
+}
+
+// Guards against losing trailers, query, escaped path or a streamed body on the way.
+func TestStreamsAndTrailersPassBothWays(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		f.serve["s0"] = func(w http.ResponseWriter, r *http.Request) {
+			data, _ := io.ReadAll(r.Body)
+			w.Header().Set("Trailer", "X-Sum")
+			_, _ = io.WriteString(w, r.URL.RequestURI()+" "+string(data))
+			w.(http.Flusher).Flush()
+			w.Header().Set("X-Sum", "42")
+			w.Header().Set(http.TrailerPrefix+"X-Late", "7")
+		}
+		pr, pw := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(pw, "part one,")
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(pw, "part two")
+			_ = pw.Close()
+		}()
+		resp, err := f.overHTTP().Post("http://entry:80/orders/book/a%20b%2Fc?q=1&r=%20", "text/plain", pr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if got := string(body); err != nil || got != "/orders/book/a%20b%2Fc?q=1&r=%20 part one,part two" {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		if resp.Trailer.Get("X-Sum") != "42" || resp.Trailer.Get("X-Late") != "7" {
+			t.Fatalf("trailers %v", resp.Trailer)
+		}
+	})
+}
+
+// Guards against refusals without status, outcome, or a route that a rewritten path reaches.
+func TestRouting(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		for _, c := range []struct {
+			method, path string
+			status       int
+		}{
+			{"GET", "/nothing", 404},
+			{"DELETE", "/orders/book", 405},
+			{"GET", "/orders/status/../book", 400},
+			{"GET", "/orders/status/%2e%2e/book", 400},
+			{"GET", "/orders/status%2f..%2fbook", 400},
+			{"GET", "/orders//book", 400},
+		} {
+			w := f.call(c.method, c.path, "")
+			wantRefusal(t, w, c.status, fault.NotRun)
+		}
+		if f.call("DELETE", "/orders/book", "").Header().Get("Allow") == "" {
+			t.Error("405 without Allow")
+		}
+		if len(f.runs) != 0 {
+			t.Errorf("refused calls ran: %v", f.runs)
+		}
+		big := strings.Repeat("x", defaultMaxBody+1)
+		wantRefusal(t, f.call("POST", "/orders/book", big), 413, fault.NotRun)
+	})
+}
+
+// Guards against a non-repeatable call running twice, or being reported as
+// not-run when it ran, at each point where the path to the service can fail.
+func TestNonRepeatableRunsAtMostOnce(t *testing.T) {
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, c := range []struct {
+		name    string
+		fail    func(f *fleet, name string)
+		status  int
+		outcome fault.Outcome
+		runs    int
+	}{
+		{"sidecar cannot be dialled", func(f *fleet, n string) { f.net.Cut(n + ":1") }, 503, fault.NotRun, 0},
+		{"service cannot be dialled", func(f *fleet, n string) { f.net.Cut(n + ":80") }, 503, fault.NotRun, 0},
+		{"sidecar is leaving", func(f *fleet, n string) { f.sidecars[n].Leave() }, 503, fault.NotRun, 0},
+		{"sidecar is full", func(f *fleet, n string) { f.sidecars[n].limit = 0 }, 429, fault.NotRun, 0},
+		{"address belongs to another sidecar", func(f *fleet, n string) { f.sidecars[n].upstream = "other" }, 503, fault.NotRun, 0},
+		{"peer secret is wrong", func(f *fleet, _ string) { f.router.secret = "wrong" }, 503, fault.NotRun, 0},
+		{"service dies while running", func(f *fleet, n string) { f.serve[n] = abort }, 502, fault.Unknown, 1},
+		{"service is silent", func(f *fleet, n string) {
+			f.serve[n] = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+		}, 504, fault.Unknown, 1},
+		{"sidecar dies while the service runs", func(f *fleet, n string) {
+			f.serve[n] = func(http.ResponseWriter, *http.Request) { f.net.Cut(n + ":1"); time.Sleep(time.Second) }
+		}, 502, fault.Unknown, 1},
+		{"connection to the sidecar is silent", func(f *fleet, n string) { f.net.Silence(n+":1", true) }, 502, fault.Unknown, 0},
+		{"answer of the service is a 503", func(f *fleet, n string) {
+			f.serve[n] = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }
+		}, 503, fault.Ran, 1},
+	} {
+		for _, method := range []string{"GET", "POST"} {
+			for _, body := range []string{"", "print run"} {
+				t.Run(c.name+" "+method+" "+body, func(t *testing.T) {
+					inFleet(t, 2, func(t *testing.T, f *fleet) {
+						// A first call leaves idle connections, which net/http would
+						// silently replace together with the request.
+						f.call(method, "/orders/book/warm", body)
+						for name := range f.sidecars {
+							c.fail(f, name)
+						}
+						synctest.Wait()
+						w := f.call(method, "/orders/book/x", body, HeaderIdempotencyKey+"-Free", "1")
+						time.Sleep(time.Minute)
+						wantRefusal(t, w, c.status, c.outcome)
+						if got := f.executions("/orders/book/x"); got != c.runs {
+							t.Fatalf("ran %d times, want %d", got, c.runs)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against refusing a call while another upstream could take it.
+func TestRefusedCallGoesToAnotherUpstream(t *testing.T) {
+	for _, path := range []string{"/orders/book", "/orders/status"} {
+		inFleet(t, 2, func(t *testing.T, f *fleet) {
+			f.sidecars["s0"].Leave()
+			for range 20 {
+				if w := f.call("POST", path, "b"); w.Code != 200 || w.Body.String() != "POST b" {
+					t.Fatalf("%s: got %d %s", path, w.Code, w.Body)
+				}
+			}
+			if f.view.members["s0"].State != membership.Leaving {
+				t.Error("the announcement of leaving was not reported")
+			}
+			if n := f.sidecars["s0"].State().Refused; n > 1 {
+				t.Errorf("%d calls were sent to a leaving sidecar, want at most 1", n)
+			}
+		})
+	}
+}
+
+// Guards against repeatable calls that fail although a retry would have succeeded.
+func TestRepeatableRetries(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(f *fleet)
+	}{
+		{"status 503", func(f *fleet) {
+			f.serve["s0"] = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }
+		}},
+		{"broken answer", func(f *fleet) {
+			f.serve["s0"] = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+		}},
+		{"silent service", func(f *fleet) {
+			f.serve["s0"] = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+		}},
+		{"dead sidecar", func(f *fleet) { f.net.Cut("s0:1") }},
+		{"dead service", func(f *fleet) { f.net.Cut("s0:80") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, 2, func(t *testing.T, f *fleet) {
+				f.policy.RetryBudget = 1
+				c.fail(f)
+				for range 10 {
+					if w := f.call("GET", "/orders/status/1", ""); w.Code != 200 {
+						t.Fatalf("got %d %s", w.Code, w.Body)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against retries that multiply the load of a failing pool.
+func TestRetryBudgetBoundsLoad(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fleet) {
+		for name := range f.sidecars {
+			f.serve[name] = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }
+		}
+		const calls = 200
+		for range calls {
+			if w := f.call("GET", "/orders/status/1", ""); w.Code != 503 {
+				t.Fatalf("got %d, want the service's own 503", w.Code)
+			}
+		}
+		limit := calls + int(calls*f.policy.RetryBudget) + budgetStart
+		if got := f.executions("/orders/status/1"); got > limit {
+			t.Fatalf("%d calls ran %d times, want at most %d", calls, got, limit)
+		}
+	})
+}
+
+// Guards against slow calls that are not hedged, and against hedging when the policy forbids it.
+func TestHedgeAfterP95(t *testing.T) {
+	for _, hedge := range []bool{true, false} {
+		inFleet(t, 2, func(t *testing.T, f *fleet) {
+			f.policy.Hedge = hedge
+			for range 2 * latencyRefresh {
+				f.call("GET", "/orders/status/1", "")
+			}
+			f.serve["s0"] = func(w http.ResponseWriter, r *http.Request) { time.Sleep(time.Second) }
+			var slowest time.Duration
+			for range 10 {
+				began := time.Now()
+				f.call("GET", "/orders/status/1", "")
+				slowest = max(slowest, time.Since(began))
+			}
+			if hedge && slowest > 10*time.Millisecond {
+				t.Errorf("slowest hedged call took %v", slowest)
+			}
+			if !hedge && slowest < time.Second {
+				t.Errorf("hedged although the policy forbids it: slowest %v", slowest)
+			}
+		})
+	}
+}
+
+// Guards against an answer that breaks off and looks complete to the caller.
+func TestBrokenAnswerIsNotTakenForComplete(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		f.serve["s0"] = func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		resp, err := f.overHTTP().Post("http://entry:80/orders/book", "text/plain", strings.NewReader("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if data, err := io.ReadAll(resp.Body); err == nil {
+			t.Fatalf("read %q without an error", data)
+		}
+	})
+}
+
+// Guards against a planned stop that interrupts a call in progress.
+func TestDrainWaitsForRunningCalls(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		f.serve["s0"] = func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(3 * time.Second)
+			_, _ = io.WriteString(w, "done")
+		}
+		drained := make(chan error)
+		time.AfterFunc(time.Second, func() { drained <- f.sidecars["s0"].Drain(t.Context()) })
+		if w := f.call("POST", "/orders/book", "b"); w.Body.String() != "done" {
+			t.Fatalf("got %d %s", w.Code, w.Body)
+		}
+		if err := <-drained; err != nil {
+			t.Fatal(err)
+		}
+		wantRefusal(t, f.call("POST", "/orders/book", "b"), 503, fault.NotRun)
+	})
+}
