Add settings, tickets, their storage and the platform clients

Tickets and settings are strict YAML; every fault is reported at once with its line and a remedy. A ticket is accepted by one compare-and-swap on a head that lists content-addressed pages, and a write without acknowledgement is resolved by reading the ticket's record back. The commands check and ticket use them.

--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"context"
+	"flag"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/strictyaml"
+)
+
+type checkCommand struct {
+	env    Env
+	config string
+	json   bool
+}
+
+// Check returns the command that checks a settings file.
+func Check(env Env) subcommands.Command { return &checkCommand{env: env} }
+
+// Name implements subcommands.Command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCommand) Synopsis() string { return "check a settings file and list all faults" }
+
+// Usage implements subcommands.Command.
+func (*checkCommand) Usage() string {
+	return "check -config FILE [-json]\n  Exit code 0: no faults. Exit code 2: the file has faults or cannot be read.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings file of the process")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+type checkReport struct {
+	OK     bool               `json:"ok"`
+	Faults []strictyaml.Fault `json:"faults,omitempty"`
+	Error  string             `json:"error,omitempty"`
+}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.config == "" {
+		c.env.errorf("check: give a settings file with -config\n")
+		return subcommands.ExitUsageError
+	}
+	loaded, err := settings.Load(c.config)
+	if err != nil {
+		c.reportFaults(err)
+		return exitFaults
+	}
+	if c.json {
+		c.env.printJSON(checkReport{OK: true})
+		return subcommands.ExitSuccess
+	}
+	c.env.printf("%s: no faults (role %s, instance %s)\n", c.config, loaded.Role, loaded.Instance)
+	return subcommands.ExitSuccess
+}
+
+func (c *checkCommand) reportFaults(err error) {
+	if !c.json {
+		c.env.errorf("%v\n", err)
+		return
+	}
+	var faults *strictyaml.Error
+	if errors.As(err, &faults) {
+		c.env.printJSON(checkReport{Faults: faults.Faults})
+		return
+	}
+	c.env.printJSON(checkReport{Error: err.Error()})
+}
--- /dev/null
+++ b/internal/cli/ticket.go
@@ -0,0 +1,238 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/strictyaml"
+)
+
+type ticketCommand struct{ env Env }
+
+// Ticket returns the command that applies tickets and reports on them.
+func Ticket(env Env) subcommands.Command { return &ticketCommand{env: env} }
+
+// Name implements subcommands.Command.
+func (*ticketCommand) Name() string { return "ticket" }
+
+// Synopsis implements subcommands.Command.
+func (*ticketCommand) Synopsis() string {
+	return "apply change tickets and see where they are in force"
+}
+
+// Usage implements subcommands.Command.
+func (*ticketCommand) Usage() string {
+	return "ticket apply -f FILE | ticket status N | ticket list, each with -kv URL or -config FILE, and -json\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (*ticketCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *ticketCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	flags := flag.NewFlagSet("ticket", flag.ContinueOnError)
+	flags.SetOutput(c.env.Stderr)
+	commander := subcommands.NewCommander(flags, "ticket")
+	commander.Output, commander.Error = c.env.Stdout, c.env.Stderr
+	commander.Register(&applyCommand{storeFlags: storeFlags{env: c.env}}, "")
+	commander.Register(&listCommand{storeFlags: storeFlags{env: c.env}}, "")
+	commander.Register(&statusCommand{storeFlags: storeFlags{env: c.env}}, "")
+	if err := flags.Parse(f.Args()); err != nil {
+		return subcommands.ExitUsageError
+	}
+	return commander.Execute(ctx)
+}
+
+// storeFlags are the flags by which a command finds the platform's services.
+type storeFlags struct {
+	env       Env
+	kv        string
+	instances string
+	config    string
+	json      bool
+}
+
+// SetFlags implements subcommands.Command.
+func (s *storeFlags) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&s.kv, "kv", "", "URL of the key-value service")
+	f.StringVar(&s.config, "config", "", "settings file that has the URLs of the platform's services")
+	f.BoolVar(&s.json, "json", false, "print JSON")
+}
+
+// resolve fills in the URLs that were not given from the settings file.
+func (s *storeFlags) resolve() error {
+	if s.config == "" {
+		if s.kv == "" {
+			return errors.New("give the key-value service with -kv URL or a settings file with -config FILE")
+		}
+		return nil
+	}
+	data, err := os.ReadFile(s.config)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	// These commands do not speak to peers, so the environment of the operator
+	// need not have the peer secret.
+	loaded, err := settings.Parse(s.config, data, func(string) (string, bool) { return "not needed by this command", true })
+	if err != nil {
+		return err
+	}
+	if s.kv == "" {
+		s.kv = loaded.Platform.KV
+	}
+	if s.instances == "" {
+		s.instances = loaded.Platform.Instances
+	}
+	return nil
+}
+
+// store opens the configuration; the caller must close the returned closer.
+func (s *storeFlags) store() (*configstore.Store, func(), error) {
+	if err := s.resolve(); err != nil {
+		return nil, nil, err
+	}
+	client, err := platform.NewClient(platform.ClientOptions{URL: s.kv, Dial: s.env.Dial})
+	if err != nil {
+		return nil, nil, err
+	}
+	return configstore.New(configstore.Options{KV: client}), client.Close, nil
+}
+
+// problem is the JSON form of a failure.
+type problem struct {
+	Kind    string             `json:"kind"`
+	Message string             `json:"message"`
+	Remedy  string             `json:"remedy,omitempty"`
+	Refusal *config.Refusal    `json:"refusal,omitempty"`
+	Faults  []strictyaml.Fault `json:"faults,omitempty"`
+}
+
+func describeProblem(err error) problem {
+	var (
+		faults  *strictyaml.Error
+		refusal *config.Refusal
+		store   *configstore.StoreError
+	)
+	switch {
+	case errors.As(err, &faults):
+		return problem{Kind: "invalid", Message: err.Error(), Faults: faults.Faults}
+	case errors.As(err, &refusal):
+		return problem{Kind: string(refusal.Kind), Message: refusal.Message, Remedy: refusal.Remedy, Refusal: refusal}
+	case errors.As(err, &store) && store.Unknown:
+		return problem{Kind: "outcome_unknown", Message: err.Error()}
+	case errors.Is(err, platform.ErrUnavailable):
+		return problem{Kind: "store_unavailable", Message: err.Error()}
+	default:
+		return problem{Kind: "failed", Message: err.Error()}
+	}
+}
+
+// fail reports err and returns the exit code: 2 for faults in the input, else 1.
+func (s *storeFlags) fail(err error) subcommands.ExitStatus {
+	p := describeProblem(err)
+	if s.json {
+		s.env.printJSON(struct {
+			Accepted bool    `json:"accepted"`
+			Error    problem `json:"error"`
+		}{Error: p})
+	} else {
+		s.env.errorf("%v\n", err)
+	}
+	if len(p.Faults) > 0 {
+		return exitFaults
+	}
+	return subcommands.ExitFailure
+}
+
+type applyCommand struct {
+	storeFlags
+	file string
+}
+
+// Name implements subcommands.Command.
+func (*applyCommand) Name() string { return "apply" }
+
+// Synopsis implements subcommands.Command.
+func (*applyCommand) Synopsis() string { return "apply a ticket" }
+
+// Usage implements subcommands.Command.
+func (*applyCommand) Usage() string {
+	return "apply -f FILE (-kv URL | -config FILE) [-json]\n" +
+		"  Applying the same ticket again is safe. Exit code 1: not accepted. Exit code 2: the file has faults.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *applyCommand) SetFlags(f *flag.FlagSet) {
+	c.storeFlags.SetFlags(f)
+	f.StringVar(&c.file, "f", "", "ticket file, or - for standard input")
+}
+
+type applyReport struct {
+	Accepted bool `json:"accepted"`
+	Already  bool `json:"already"`
+	config.Record
+	BytesWritten int `json:"bytes_written"`
+}
+
+// Execute implements subcommands.Command.
+func (c *applyCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.file == "" {
+		c.env.errorf("ticket apply: give a ticket file with -f\n")
+		return subcommands.ExitUsageError
+	}
+	ticket, err := c.read()
+	if err != nil {
+		return c.fail(err)
+	}
+	store, closeStore, err := c.store()
+	if err != nil {
+		return c.fail(err)
+	}
+	defer closeStore()
+	result, err := store.Accept(ctx, ticket)
+	if err != nil {
+		return c.fail(err)
+	}
+	c.report(result)
+	return subcommands.ExitSuccess
+}
+
+func (c *applyCommand) read() (*config.Ticket, error) {
+	if c.file == "-" {
+		data, err := io.ReadAll(io.LimitReader(c.env.Stdin, config.MaxTicketBytes+1))
+		if err != nil {
+			return nil, errors.Wrap(err, "read ticket from standard input")
+		}
+		return config.ParseTicket("standard input", data)
+	}
+	data, err := os.ReadFile(c.file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read ticket; check the path given by -f")
+	}
+	return config.ParseTicket(c.file, data)
+}
+
+func (c *applyCommand) report(r configstore.Result) {
+	if c.json {
+		c.env.printJSON(applyReport{Accepted: true, Already: r.Already, Record: r.Record, BytesWritten: r.BytesWritten})
+		return
+	}
+	switch {
+	case r.Already && r.Revision == 0:
+		c.env.printf("ticket %d had been accepted before and is in force\n", r.Ticket)
+	case r.Already:
+		c.env.printf("ticket %d had been accepted before, as revision %d\n", r.Ticket, r.Revision)
+	default:
+		c.env.printf("ticket %d accepted as revision %d (%d objects)\n", r.Ticket, r.Revision, r.Objects)
+	}
+	c.env.printf("see where it is in force: fescueslip ticket status %d\n", r.Ticket)
+}
--- /dev/null
+++ b/internal/config/accept_test.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestAccept guards the acceptance rules and the wording of refusals: each file
+// is a history of tickets, with the verdict on each.
+func TestAccept(t *testing.T) {
+	datadriven.Walk(t, "testdata/accept", func(t *testing.T, path string) {
+		state := NewConfiguration(0, nil, nil)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "apply":
+				ticket, err := ParseTicket("ticket.yaml", []byte(d.Input))
+				if err != nil {
+					return err.Error() + "\n"
+				}
+				decision, err := state.Accept(ticket)
+				if err != nil {
+					return fmt.Sprintf("%s\n%v\n", err.(*Refusal).Kind, err)
+				}
+				state = decision.Next
+				return fmt.Sprintf("accepted revision=%d already=%t\n", decision.Record.Revision, decision.Already)
+			case "forget":
+				state = NewConfiguration(state.Revision(), state.Objects(), nil)
+				return ""
+			case "show":
+				return show(state)
+			default:
+				t.Fatalf("unknown command %s", d.Cmd)
+				return ""
+			}
+		})
+	})
+}
+
+func show(c *Configuration) string {
+	var b strings.Builder
+	for _, o := range c.Objects() {
+		content := string(o.Spec)
+		if o.Deleted {
+			content = "deleted"
+		}
+		fmt.Fprintf(&b, "%s ticket=%d %s\n", o.Ref, o.Ticket, content)
+	}
+	return b.String()
+}
