Add a stand-in model engine with the HTTP API of the engine document

It has continuous batching, memory in chunks, a prefix cache, prefill outputs that are evicted after a hold, rate-limited transfers, orders and faults.

--- /dev/null
+++ b/internal/standin/engine/api.go
@@ -0,0 +1,205 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Role is the kind of work that an engine accepts.
+type Role string
+
+// The roles of an engine.
+const (
+	Prefill Role = "prefill"
+	Decode  Role = "decode"
+)
+
+// phase is the phase of a request as GET /v1/requests shows it.
+type phase string
+
+const (
+	phasePrefill   phase = "prefill"
+	phaseHeld      phase = "held"
+	phaseImporting phase = "importing"
+	phaseImported  phase = "imported"
+	phaseDecoding  phase = "decoding"
+)
+
+// maxBodyBytes bounds the body of a request to the engine.
+const maxBodyBytes = 8 << 20
+
+// statusCancelled answers a request that another call cancelled.
+const statusCancelled = 499
+
+// apiError is an error of the engine API.
+type apiError struct {
+	status  int
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func fail(status int, code, format string, args ...any) *apiError {
+	return &apiError{status: status, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *apiError) Error() string { return e.Code + ": " + e.Message }
+
+type errorBody struct {
+	Error *apiError `json:"error"`
+}
+
+// errDied closes the connection without an answer: its status is 0.
+func errDied() *apiError { return fail(0, "crashed", "the engine died") }
+
+func errCancelled() *apiError {
+	return fail(statusCancelled, "cancelled", "the request was cancelled")
+}
+
+func errNoMemory(wanted, free int) *apiError {
+	return fail(http.StatusServiceUnavailable, "no_memory", "%d chunks wanted, %d free", wanted, free)
+}
+
+func errEvicted(handle string) *apiError {
+	return fail(http.StatusNotFound, "evicted", "no prefill output is held as %q", handle)
+}
+
+type infoReply struct {
+	BootID                 string  `json:"boot_id"`
+	Role                   Role    `json:"role"`
+	Slots                  int     `json:"slots"`
+	CapacityTokens         int     `json:"capacity_tokens"`
+	ChunkTokens            int     `json:"chunk_tokens"`
+	MaxPromptTokens        int     `json:"max_prompt_tokens"`
+	KVBytesPerToken        int64   `json:"kv_bytes_per_token"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_s"`
+	LinkBytesPerSecond     float64 `json:"link_bytes_per_s"`
+}
+
+type prefillCall struct {
+	RequestID string `json:"request_id"`
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	Priority  int    `json:"priority"` // the larger runs first
+}
+
+type prefillReply struct {
+	Handle       string `json:"handle"`
+	Tokens       int    `json:"tokens"`
+	CachedTokens int    `json:"cached_tokens"`
+	KVBytes      int64  `json:"kv_bytes"`
+	HoldMS       int64  `json:"hold_ms"`
+}
+
+type releaseCall struct {
+	Handle string `json:"handle"`
+}
+
+type importCall struct {
+	RequestID string `json:"request_id"`
+	SourceURL string `json:"source_url"`
+	Handle    string `json:"handle"`
+	// ReserveTokens is the memory to hold from the start, prompt included.
+	ReserveTokens int `json:"reserve_tokens"`
+}
+
+type importReply struct {
+	HeldTokens int `json:"held_tokens"`
+}
+
+type decodeCall struct {
+	RequestID    string `json:"request_id"`
+	Model        string `json:"model"`
+	Prompt       string `json:"prompt"`
+	ResumeTokens int    `json:"resume_tokens"`
+	MaxTokens    int    `json:"max_tokens"`
+	Priority     int    `json:"priority"`
+}
+
+type decodeLine struct {
+	Index        int       `json:"index"`
+	Text         string    `json:"text"`
+	FinishReason string    `json:"finish_reason,omitempty"`
+	Error        *apiError `json:"error,omitempty"`
+}
+
+type cancelCall struct {
+	RequestID string `json:"request_id"`
+}
+
+type cancelReply struct {
+	FreedTokens int `json:"freed_tokens"`
+}
+
+type requestsReply struct {
+	Requests []requestState `json:"requests"`
+}
+
+type requestState struct {
+	RequestID  string `json:"request_id"`
+	Phase      phase  `json:"phase"`
+	HeldTokens int    `json:"held_tokens"`
+}
+
+type loadReply struct {
+	Running        int   `json:"running"`
+	Slots          int   `json:"slots"`
+	HeldTokens     int   `json:"held_tokens"`
+	CapacityTokens int   `json:"capacity_tokens"`
+	AgeMS          int64 `json:"age_ms"`
+}
+
+type order struct {
+	ID      string `json:"id"`
+	Fencing uint64 `json:"fencing"`
+	Kind    string `json:"kind"`
+	Role    Role   `json:"role,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
+type orderReply struct {
+	Applied bool `json:"applied"`
+}
+
+// handle adapts a call with a JSON body and a JSON reply.
+func handle[In, Out any](f func(*http.Request, In) (Out, *apiError)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := readCall(w, r, &in); err != nil {
+			writeError(w, err)
+			return
+		}
+		out, err := f(r, in)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, out)
+	}
+}
+
+func readCall(w http.ResponseWriter, r *http.Request, in any) *apiError {
+	if r.Method == http.MethodGet {
+		return nil
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(in); err != nil {
+		return fail(http.StatusBadRequest, "malformed", "cannot read the request: %v", err)
+	}
+	return nil
+}
+
+func writeError(w http.ResponseWriter, err *apiError) {
+	if err.status == 0 {
+		// The engine died: the connection ends without an answer.
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, err.status, errorBody{Error: err})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
