--- /dev/null
+++ b/internal/app/entry.go
@@ -0,0 +1,155 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/entry"
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/peer"
+	"github.com/fescueslip/fescueslip/internal/plain"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
+	"github.com/fescueslip/fescueslip/internal/relay"
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	// closeTimeout bounds the wait for idle connections at the end of a
+	// shutdown; requests have ended by then.
+	closeTimeout = time.Second
+)
+
+var entryModule = fx.Module("entry",
+	fx.Provide(
+		quarantine.NewKeeper,
+		entry.NewMetrics,
+		newPlainRouter,
+		newEntry,
+		entryParts,
+	),
+	fx.Invoke(runQuarantine, servePeers, serveCallers, drainOnStop),
+)
+
+func entryLimits(s *settings.Settings) entry.Limits {
+	l := entry.DefaultLimits()
+	l.MaxBodyBytes = int64(s.Limits.MaxBody)
+	l.MaxHeaderBytes = int(s.Limits.MaxHeader)
+	l.MaxHeaderCount = s.Limits.MaxHeaderCount
+	l.MaxPromptTokens = s.Limits.MaxPromptTokens
+	l.BodyTimeout = s.Limits.BodyTimeout
+	return l
+}
+
+func newPlainRouter(p Process, c peerClient, source config.Source, view membership.View, events *telemetry.FlightLog, logger *log.Logger) *plain.Router {
+	return plain.NewRouter(plain.RouterOptions{
+		Config:        source,
+		Members:       view,
+		Client:        c.Client,
+		Secret:        p.Settings.PeerSecret,
+		Instance:      p.Settings.Instance,
+		FailureDomain: p.Settings.FailureDomain,
+		Events:        events,
+		Logger:        logger,
+		MaxBody:       int64(p.Settings.Limits.MaxBody),
+	})
+}
+
+type entryDeps struct {
+	fx.In
+
+	Process    Process
+	Client     peerClient
+	Config     config.Source
+	Members    membership.View
+	Plain      *plain.Router
+	Quarantine *quarantine.Keeper
+	Events     *telemetry.FlightLog
+	Metrics    *entry.Metrics
+	Logger     *log.Logger
+}
+
+func newEntry(d entryDeps) *entry.Entry {
+	return entry.New(entry.Options{
+		Instance:      d.Process.Settings.Instance,
+		FailureDomain: d.Process.Settings.FailureDomain,
+		Config:        d.Config,
+		Members:       d.Members,
+		Client:        d.Client.Client,
+		Secret:        d.Process.Settings.PeerSecret,
+		Plain:         d.Plain,
+		Quarantine:    d.Quarantine,
+		Limits:        entryLimits(d.Process.Settings),
+		Events:        d.Events,
+		Metrics:       d.Metrics,
+		Logger:        d.Logger,
+	})
+}
+
+func entryParts(e *entry.Entry, k *quarantine.Keeper) roleParts {
+	return roleParts{
+		dump: func() map[string]any {
+			return map[string]any{"entry": e.State(), "quarantine": k.Record()}
+		},
+		drain: e.Drain,
+	}
+}
+
+func runQuarantine(lc fx.Lifecycle, k *quarantine.Keeper, b *background) {
+	lc.Append(fx.StartHook(func() {
+		b.run("quarantine writer", k.RunWriter)
+		b.run("quarantine watcher", k.RunWatcher)
+	}))
+}
+
+// servePeers offers the control service; sidecars serve their streams beside it.
+func servePeers(lc fx.Lifecycle, p Process, r *relay.Relay, events *telemetry.FlightLog, role roleParts, sd fx.Shutdowner, logger *log.Logger) {
+	mux := http.NewServeMux()
+	service := peer.NewPeerServer(&peerService{
+		relay:  r,
+		events: events,
+		name:   p.Settings.Instance,
+		role:   role,
+		stop:   func() error { return sd.Shutdown() },
+	})
+	mux.Handle(service.PathPrefix(), service)
+	for path, handler := range role.streams {
+		mux.Handle(path, handler)
+	}
+	serve(lc, p.PeerListener, wire.NewServer(wire.RequireSecret(p.Settings.PeerSecret, mux)), logger)
+}
+
+func serveCallers(lc fx.Lifecycle, p Process, e *entry.Entry, logger *log.Logger) {
+	listener := limitPerAddress(p.CallerListener, p.Settings.Limits.MaxConnectionsPerCaller)
+	serve(lc, listener, &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(p.Settings.Limits.MaxHeader),
+	}, logger)
+}
+
+// drainOnStop makes a planned stop graceful. Its hook is the last to be
+// appended, so it runs before any server or loop stops.
+func drainOnStop(lc fx.Lifecycle, id *identity, r *relay.Relay, role roleParts, logger *log.Logger) {
+	lc.Append(fx.StopHook(func(ctx context.Context) error {
+		id.leave()
+		r.Announce(ctx)
+		logger.Info("leaving; waiting for the requests in progress")
+		if err := role.drain(ctx); err != nil {
+			logger.Error("graceful shutdown ended early; requests were cut off", "err", err)
+			return err
+		}
+		logger.Info("all requests in progress have finished")
+		return nil
+	}))
+}
--- /dev/null
+++ b/internal/app/server.go
@@ -0,0 +1,169 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/admin"
+	"github.com/fescueslip/fescueslip/internal/cli/version"
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/peer"
+	"github.com/fescueslip/fescueslip/internal/relay"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+)
+
+// roleParts is what a role adds to the shared parts of a process.
+type roleParts struct {
+	// streams are the handlers of the peer port beside the control service, by path.
+	streams map[string]http.Handler
+	// dump returns the role's parts of the state dump.
+	dump func() map[string]any
+	// drain refuses new work and returns when no accepted work is left.
+	drain func(context.Context) error
+	// commitIntents serves the ledger's call of other entries; nil on sidecars.
+	commitIntents func(context.Context, *peer.CommitIntentRequest) (*peer.CommitIntentResponse, error)
+}
+
+// peerService answers the control calls of other processes.
+type peerService struct {
+	relay  *relay.Relay
+	events *telemetry.FlightLog
+	name   string
+	role   roleParts
+	stop   func() error
+}
+
+// Exchange implements peer.Peer.
+func (s *peerService) Exchange(ctx context.Context, req *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	return s.relay.HandleExchange(ctx, req), nil
+}
+
+// FetchConfig implements peer.Peer.
+func (s *peerService) FetchConfig(_ context.Context, req *peer.FetchConfigRequest) (*peer.FetchConfigResponse, error) {
+	return s.relay.HandleFetchConfig(req), nil
+}
+
+// Explain implements peer.Peer.
+func (s *peerService) Explain(_ context.Context, req *peer.ExplainRequest) (*peer.ExplainResponse, error) {
+	resp := &peer.ExplainResponse{Process: s.name}
+	for _, e := range s.events.Events(req.RequestId) {
+		resp.Events = append(resp.Events, &peer.RequestEvent{
+			UnixNanos: e.Time.UnixNano(),
+			Attempt:   e.Attempt,
+			Kind:      e.Kind,
+			Upstream:  e.Upstream,
+			Detail:    e.Detail,
+		})
+	}
+	return resp, nil
+}
+
+// Drain implements peer.Peer.
+func (s *peerService) Drain(context.Context, *peer.DrainRequest) (*peer.DrainResponse, error) {
+	return &peer.DrainResponse{}, s.stop()
+}
+
+// CommitIntent implements peer.Peer.
+func (s *peerService) CommitIntent(ctx context.Context, req *peer.CommitIntentRequest) (*peer.CommitIntentResponse, error) {
+	if s.role.commitIntents == nil {
+		return nil, errors.New("this process keeps no ledger; ask an entry")
+	}
+	return s.role.commitIntents(ctx, req)
+}
+
+func serveAdmin(lc fx.Lifecycle, p Process, id *identity, holder *config.Holder, r *relay.Relay, table *membership.Table,
+	events *telemetry.FlightLog, registry *prometheus.Registry, role roleParts, sd fx.Shutdowner, logger *log.Logger) {
+	state := func() admin.State {
+		m := id.member()
+		parts := role.dump()
+		parts["relay"] = r.State()
+		parts["members"] = memberStates(table.Members())
+		return admin.State{
+			Instance:       m.Name,
+			Role:           m.Role,
+			Upstream:       m.Upstream,
+			FailureDomain:  m.FailureDomain,
+			Incarnation:    m.Incarnation,
+			Version:        version.Build,
+			ConfigRevision: m.ConfigRevision,
+			Ready:          readiness(id, holder) == nil,
+			Leaving:        id.leaving(),
+			Parts:          parts,
+		}
+	}
+	handler := admin.New(admin.Options{
+		State:    state,
+		Ready:    func() error { return readiness(id, holder) },
+		Registry: registry,
+		Explain:  func(requestID string) any { return events.Events(requestID) },
+		Drain:    func(context.Context) error { return sd.Shutdown() },
+	})
+	serve(lc, p.AdminListener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, logger)
+}
+
+func readiness(id *identity, holder *config.Holder) error {
+	switch {
+	case id.leaving():
+		return errors.New("leaving: send new work to another instance")
+	case holder.Snapshot() == nil:
+		return errors.New("no configuration yet: check that the key-value service or a peer is reachable and that a ticket was applied")
+	default:
+		return nil
+	}
+}
+
+type memberState struct {
+	Name           string `json:"name"`
+	Role           string `json:"role"`
+	Upstream       string `json:"upstream,omitempty"`
+	FailureDomain  string `json:"failure_domain"`
+	Incarnation    uint64 `json:"incarnation"`
+	State          string `json:"state"`
+	ConfigRevision uint64 `json:"config_revision"`
+}
+
+func memberStates(members []membership.Member) []memberState {
+	list := make([]memberState, len(members))
+	for i, m := range members {
+		list[i] = memberState{
+			Name:           m.Name,
+			Role:           m.Role,
+			Upstream:       m.Upstream,
+			FailureDomain:  m.FailureDomain,
+			Incarnation:    m.Incarnation,
+			State:          m.State.String(),
+			ConfigRevision: m.ConfigRevision,
+		}
+	}
+	return list
+}
+
+// serve runs a server from start to stop of the process.
+func serve(lc fx.Lifecycle, l net.Listener, srv *http.Server, logger *log.Logger) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					logger.Error("server ended", "address", l.Addr().String(), "err", err)
+				}
+			}()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			// Idle connections of peers stay open; they carry no request any more.
+			short, cancel := context.WithTimeout(ctx, closeTimeout)
+			defer cancel()
+			if srv.Shutdown(short) != nil {
+				return srv.Close()
+			}
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/app/sidecar.go
@@ -0,0 +1,85 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/plain"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/sidecar"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+)
+
+var sidecarModule = fx.Module("sidecar",
+	fx.Provide(newSidecarParts),
+	fx.Invoke(servePeers, drainOnStop),
+)
+
+type sidecarDeps struct {
+	fx.In
+
+	Lifecycle  fx.Lifecycle
+	Process    Process
+	Background *background
+	Config     config.Source
+	KV         platform.KV
+	Events     *telemetry.FlightLog
+	Logger     *log.Logger
+}
+
+func newSidecarParts(d sidecarDeps) (roleParts, error) {
+	if d.Process.Settings.Upstream.Kind == settings.UpstreamService {
+		return newServiceSidecar(d), nil
+	}
+	return newModelSidecar(d)
+}
+
+func newServiceSidecar(d sidecarDeps) roleParts {
+	s := d.Process.Settings
+	sc := plain.NewSidecar(plain.SidecarOptions{
+		Upstream: s.Upstream.Name,
+		Instance: s.Instance,
+		Target:   &url.URL{Scheme: "http", Host: s.Upstream.Address},
+		Dial:     d.Process.Dial,
+		Config:   d.Config,
+		Logger:   d.Logger,
+	})
+	return roleParts{
+		streams: map[string]http.Handler{"/plain/": sc.Handler()},
+		dump:    func() map[string]any { return map[string]any{"service": sc.State()} },
+		drain:   sc.Drain,
+	}
+}
+
+func newModelSidecar(d sidecarDeps) (roleParts, error) {
+	s := d.Process.Settings
+	engineURL := "http://" + s.Upstream.Address
+	client, err := engine.NewHTTP(engine.Options{URL: engineURL, Dial: engine.DialFunc(d.Process.Dial)})
+	if err != nil {
+		return roleParts{}, err
+	}
+	sc := sidecar.New(sidecar.Options{
+		Upstream:    s.Upstream.Name,
+		Instance:    s.Instance,
+		Incarnation: d.Process.Incarnation,
+		Engine:      client,
+		EngineURL:   engineURL,
+		Config:      d.Config,
+		Events:      d.Events,
+		Logger:      d.Logger,
+		KV:          d.KV,
+	})
+	d.Lifecycle.Append(fx.StartHook(func() { d.Background.run("sidecar", sc.Run) }))
+	return roleParts{
+		streams: map[string]http.Handler{"/stream/": sc.Handler()},
+		dump:    func() map[string]any { return map[string]any{"engine": sc.State()} },
+		drain:   func(ctx context.Context) error { return sc.Drain(ctx) },
+	}, nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/fescueslip/fescueslip/internal/cli/version"
 )
 
 // Main runs the subcommand that the arguments name and returns its exit code:
@@ -30,6 +32,6 @@
 		&Dump{},
 		&Explain{},
 		&Fairness{},
-		&Version{},
+		&version.Command{},
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +23,8 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	MaxHeaderCount int
+	// MaxPromptTokens applies beside the limit of the model.
+	MaxPromptTokens int
 	// BodyTimeout bounds the time that a caller takes to send its body.
 	BodyTimeout time.Duration
 	// RequestTimeout bounds a model request from acceptance to its last token.
@@ -38,6 +39,7 @@
 		MaxBodyBytes:        8 << 20,
 		MaxHeaderBytes:      32 << 10,
 		MaxHeaderCount:      100,
+		MaxPromptTokens:     1_000_000,
 		BodyTimeout:         10 * time.Second,
 		RequestTimeout:      10 * time.Minute,
 		MaxStreamsPerCaller: 512,
@@ -97,7 +99,8 @@
 	subsets     subsetCache
 	quarantine  *quarantine.Keeper
 	leaving     atomic.Bool
-	inFlight    sync.WaitGroup
+	closing     atomic.Bool // answers ask callers to open new connections elsewhere
+	inFlight    inFlight
 	handler     http.Handler
 }
 
@@ -146,18 +149,20 @@
 // Ready reports whether the entry takes requests.
 func (e *Entry) Ready() bool { return !e.leaving.Load() && e.config.Snapshot() != nil }
 
+// leaveGrace is how long a leaving entry still takes new requests. The
+// platform's balancer learns of the leaving by readiness and needs a moment.
+const leaveGrace = 2 * time.Second
+
 // Drain leaves and waits until no request is in progress or ctx ends.
 func (e *Entry) Drain(ctx context.Context) error {
-	e.Leave()
-	done := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(done)
-	}()
+	e.closing.Store(true)
+	grace := time.NewTimer(leaveGrace)
+	defer grace.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-done:
-		return nil
+	case <-grace.C:
 	}
+	e.Leave()
+	return e.inFlight.wait(ctx)
 }
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -66,9 +66,9 @@
 		return nil, fault.New(fault.KindUnknownModel, "name a model of GET /v1/models", "there is no model %q", p.Model).WithParam("model")
 	}
 	tokens := countTokens(p.Prompt)
-	if tokens > model.MaxPromptTokens {
+	if limit := min(model.MaxPromptTokens, e.limits.MaxPromptTokens); tokens > limit {
 		return nil, fault.New(fault.KindPromptTooLong, "shorten the prompt",
-			"the prompt has about %d tokens; the model takes %d", tokens, model.MaxPromptTokens).WithParam("prompt")
+			"the prompt has about %d tokens; at most %d are taken", tokens, limit).WithParam("prompt")
 	}
 	now := time.Now()
 	maxTokens := min(p.MaxTokens, model.MaxOutputTokens)
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -103,11 +103,13 @@
 		return
 	}
 	defer release()
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
+	e.inFlight.begin()
+	defer e.inFlight.end()
+	if e.closing.Load() {
+		c.Header("Connection", "close")
+	}
 	// The check follows the registration, so that Drain cannot miss a request.
 	if e.leaving.Load() {
-		c.Header("Connection", "close")
 		e.refuse(c, fault.New(fault.KindLeaving, "send it again; another entry answers", "this entry is leaving").WithRetryAfter(time.Second))
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -134,13 +134,13 @@
 		return
 	}
 	if newer {
-		r.announce(ctx)
+		r.Logger.Info("configuration in effect", "revision", r.Cache.Revision(), "from", "key-value service")
+		r.Announce(ctx)
 	}
 }
 
-// announce tells a few random peers of the revision in effect.
-func (r *Relay) announce(ctx context.Context) {
-	r.Logger.Info("configuration in effect", "revision", r.Cache.Revision())
+// Announce tells a few random peers at once of this process's state and revision.
+func (r *Relay) Announce(ctx context.Context) {
 	for _, m := range pickPeers(r.Self().Name, r.Table.Members(), fanout, rand.Uint64) {
 		go r.exchange(ctx, m)
 	}
@@ -210,7 +210,8 @@
 		return
 	}
 	if newer {
-		r.announce(context.WithoutCancel(ctx))
+		r.Logger.Info("configuration in effect", "revision", r.Cache.Revision(), "from", record.Name)
+		r.Announce(context.WithoutCancel(ctx))
 	}
 }
 
