--- a/internal/standin/server/conn.go
+++ b/internal/standin/server/conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -75,21 +76,26 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.server.forget(c)
-	var err error
-	c.once.Do(func() {
-		close(c.closed)
-		err = c.Conn.Close()
-	})
-	return err
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	delete(c.server.conns, c)
+	c.closeLocked(false)
+	return nil
 }
 
-// abort resets the connection, as the death of the process does. The caller
-// holds the server's lock.
-func (c *conn) abort() {
+// closeLocked ends the server's use of the connection; reset does it as the
+// death of the process does. The peer of a silent connection is not told: its
+// connection stays open until the server is closed.
+func (c *conn) closeLocked(reset bool) {
 	c.once.Do(func() {
 		close(c.closed)
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if c.silent.Load() {
+			// Ends the reads and writes in progress.
+			_ = c.SetDeadline(time.Unix(1, 0))
+			c.server.abandoned = append(c.server.abandoned, c.Conn)
+			return
+		}
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
 			_ = tcp.SetLinger(0)
 		}
 		_ = c.Conn.Close()
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -41,6 +41,8 @@
 	down      *outage
 	paused    *outage
 	silentNew *outage
+	// abandoned are silent connections that the server has closed on its side.
+	abandoned []net.Conn
 	closed    bool
 	done      chan struct{}
 }
@@ -108,6 +110,11 @@
 	s.mu.Unlock()
 	err := s.http.Close()
 	s.work.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.abandoned {
+		_ = c.Close()
+	}
 	return err
 }
 
@@ -245,7 +252,7 @@
 		s.kill()
 	}
 	for c := range s.conns {
-		c.abort()
+		c.closeLocked(true)
 	}
 	clear(s.conns)
 }
@@ -336,16 +343,10 @@
 	defer s.mu.Unlock()
 	w := &conn{Conn: c, server: s, boot: s.boot, closed: make(chan struct{})}
 	if s.down != nil || s.closed {
-		w.abort()
+		w.closeLocked(true)
 		return nil
 	}
 	w.silent.Store(s.silentNew != nil)
 	s.conns[w] = struct{}{}
 	return w
 }
-
-func (s *Server) forget(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
