--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -65,9 +65,12 @@
 	}
 	s.boot, s.kill = context.WithCancel(context.Background())
 	s.http = &http.Server{
-		Handler:     http.HandlerFunc(s.serve),
-		ConnContext: func(_ context.Context, c net.Conn) context.Context { return c.(*conn).boot },
-		ConnState:   s.trackConn,
+		Handler: http.HandlerFunc(s.serve),
+		ConnContext: func(_ context.Context, c net.Conn) context.Context {
+			boot := c.(*conn).boot
+			return context.WithValue(boot, lifeKey{}, boot)
+		},
+		ConnState: s.trackConn,
 		// Dropped connections are part of the faults, not worth a log line.
 		ErrorLog: discardLog,
 	}
@@ -75,6 +78,15 @@
 	return s
 }
 
+type lifeKey struct{}
+
+// Life returns, from the context of a request, one that ends only when the
+// server goes down or is closed. It is for work that goes on when the
+// connection that asked for it ends.
+func Life(ctx context.Context) context.Context {
+	return ctx.Value(lifeKey{}).(context.Context)
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.work.Add(1)
 	defer s.work.Done()
--- /dev/null
+++ b/internal/standin/weights/weights.go
@@ -0,0 +1,119 @@
+// Package weights is a stand-in for the platform's rate-limited weight store.
+package weights
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/server"
+)
+
+// Defaults of Options: a model loads in a second.
+const (
+	DefaultModelBytes     = 32 << 20
+	DefaultBytesPerSecond = 32 << 20
+)
+
+// slice is the number of bytes sent between two looks at the number of readers.
+const slice = 256 << 10
+
+// Options configure a Store. Zero values select the defaults.
+type Options struct {
+	Listener net.Listener
+	// ModelBytes is the size of every model.
+	ModelBytes int64
+	// BytesPerSecond is shared by the readers.
+	BytesPerSecond float64
+	// Versions lists the versions of each model; nil has every version of every model.
+	Versions map[string][]string
+}
+
+// Store is the weight store.
+type Store struct {
+	opts Options
+	http *server.Server
+
+	mu      sync.Mutex
+	readers int
+}
+
+// Serve serves the weight store on the listener until Close.
+func Serve(opts Options) *Store {
+	if opts.ModelBytes == 0 {
+		opts.ModelBytes = DefaultModelBytes
+	}
+	if opts.BytesPerSecond == 0 {
+		opts.BytesPerSecond = DefaultBytesPerSecond
+	}
+	s := &Store{opts: opts}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/weights/{model}/{version}", s.get)
+	s.http = server.New(server.Options{Listener: opts.Listener, Handler: mux})
+	return s
+}
+
+// Addr returns the address of the listener.
+func (s *Store) Addr() net.Addr { return s.http.Addr() }
+
+// Close stops the store.
+func (s *Store) Close() error { return s.http.Close() }
+
+// Faults returns the kinds of faults with the functions that start them.
+func (s *Store) Faults() map[string]func(time.Duration) error {
+	return map[string]func(time.Duration) error{
+		"down":    func(d time.Duration) error { s.http.Down(d); return nil },
+		"pause":   func(d time.Duration) error { s.http.Pause(d); return nil },
+		"silence": func(d time.Duration) error { s.http.Silence(d, false); return nil },
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	if !s.has(r.PathValue("model"), r.PathValue("version")) {
+		http.NotFound(w, r)
+		return
+	}
+	s.count(1)
+	defer s.count(-1)
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.FormatInt(s.opts.ModelBytes, 10))
+	buf := make([]byte, slice)
+	for rest := s.opts.ModelBytes; rest > 0; {
+		n := min(slice, rest)
+		select {
+		case <-time.After(s.timeFor(n)):
+		case <-r.Context().Done():
+			return
+		}
+		if _, err := w.Write(buf[:n]); err != nil {
+			return
+		}
+		rest -= n
+	}
+}
+
+func (s *Store) has(model, version string) bool {
+	if s.opts.Versions == nil {
+		return true
+	}
+	for _, v := range s.opts.Versions[model] {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readers += n
+}
+
+func (s *Store) timeFor(n int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(float64(n) / s.opts.BytesPerSecond * float64(s.readers) * float64(time.Second))
+}
