--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -41,6 +41,8 @@
 	down      *outage
 	paused    *outage
 	silentNew *outage
+	// abandoned are silent connections that the server has closed on its side.
+	abandoned []net.Conn
 	closed    bool
 	done      chan struct{}
 }
@@ -63,9 +65,12 @@
 	}
 	s.boot, s.kill = context.WithCancel(context.Background())
 	s.http = &http.Server{
-		Handler:     http.HandlerFunc(s.serve),
-		ConnContext: func(_ context.Context, c net.Conn) context.Context { return c.(*conn).boot },
-		ConnState:   s.trackConn,
+		Handler: http.HandlerFunc(s.serve),
+		ConnContext: func(_ context.Context, c net.Conn) context.Context {
+			boot := c.(*conn).boot
+			return context.WithValue(boot, lifeKey{}, boot)
+		},
+		ConnState: s.trackConn,
 		// Dropped connections are part of the faults, not worth a log line.
 		ErrorLog: discardLog,
 	}
@@ -73,6 +78,15 @@
 	return s
 }
 
+type lifeKey struct{}
+
+// Life returns, from the context of a request, one that ends only when the
+// server goes down or is closed. It is for work that goes on when the
+// connection that asked for it ends.
+func Life(ctx context.Context) context.Context {
+	return ctx.Value(lifeKey{}).(context.Context)
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.work.Add(1)
 	defer s.work.Done()
@@ -108,6 +122,11 @@
 	s.mu.Unlock()
 	err := s.http.Close()
 	s.work.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.abandoned {
+		_ = c.Close()
+	}
 	return err
 }
 
@@ -245,7 +264,7 @@
 		s.kill()
 	}
 	for c := range s.conns {
-		c.abort()
+		c.closeLocked(true)
 	}
 	clear(s.conns)
 }
@@ -336,16 +355,10 @@
 	defer s.mu.Unlock()
 	w := &conn{Conn: c, server: s, boot: s.boot, closed: make(chan struct{})}
 	if s.down != nil || s.closed {
-		w.abort()
+		w.closeLocked(true)
 		return nil
 	}
 	w.silent.Store(s.silentNew != nil)
 	s.conns[w] = struct{}{}
 	return w
 }
-
-func (s *Server) forget(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
