--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -3,6 +3,7 @@
 package app
 
 import (
+	"context"
 	"net"
 
 	"github.com/charmbracelet/log"
@@ -25,12 +26,18 @@
 	PeerListener   net.Listener
 	AdminListener  net.Listener
 
+	// Life ends when the process is killed: the stop that follows skips the
+	// graceful shutdown. Nil means that the process is only ever stopped.
+	Life context.Context
+
 	Dial      wire.DialFunc
 	KV        platform.KV
 	Instances platform.Instances
 	Logger    *log.Logger
 }
 
+func (p Process) killed() bool { return p.Life != nil && p.Life.Err() != nil }
+
 // Options returns the fx options of a process.
 func Options(p Process) fx.Option {
 	role := entryModule
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -13,7 +13,6 @@
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/peer"
 	"github.com/fescueslip/fescueslip/internal/plain"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/settings"
@@ -125,12 +124,12 @@
 	for path, handler := range role.streams {
 		mux.Handle(path, handler)
 	}
-	serve(lc, p.PeerListener, wire.NewServer(wire.RequireSecret(p.Settings.PeerSecret, mux)), logger)
+	serve(lc, p, p.PeerListener, wire.NewServer(wire.RequireSecret(p.Settings.PeerSecret, mux)), logger)
 }
 
 func serveCallers(lc fx.Lifecycle, p Process, e *entry.Entry, logger *log.Logger) {
 	listener := limitPerAddress(p.CallerListener, p.Settings.Limits.MaxConnectionsPerCaller)
-	serve(lc, listener, &http.Server{
+	serve(lc, p, listener, &http.Server{
 		Handler:           e.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -140,8 +139,11 @@
 
 // drainOnStop makes a planned stop graceful. Its hook is the last to be
 // appended, so it runs before any server or loop stops.
-func drainOnStop(lc fx.Lifecycle, id *identity, r *relay.Relay, role roleParts, logger *log.Logger) {
+func drainOnStop(lc fx.Lifecycle, p Process, id *identity, r *relay.Relay, role roleParts, logger *log.Logger) {
 	lc.Append(fx.StopHook(func(ctx context.Context) error {
+		if p.killed() {
+			return nil
+		}
 		id.leave()
 		r.Announce(ctx)
 		logger.Info("leaving; waiting for the requests in progress")
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -105,7 +105,7 @@
 		Explain:  func(requestID string) any { return events.Events(requestID) },
 		Drain:    func(context.Context) error { return sd.Shutdown() },
 	})
-	serve(lc, p.AdminListener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, logger)
+	serve(lc, p, p.AdminListener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, logger)
 }
 
 func readiness(id *identity, holder *config.Holder) error {
@@ -146,17 +146,20 @@
 }
 
 // serve runs a server from start to stop of the process.
-func serve(lc fx.Lifecycle, l net.Listener, srv *http.Server, logger *log.Logger) {
+func serve(lc fx.Lifecycle, p Process, l net.Listener, srv *http.Server, logger *log.Logger) {
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
-				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) && !p.killed() {
 					logger.Error("server ended", "address", l.Addr().String(), "err", err)
 				}
 			}()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			if p.killed() {
+				return srv.Close()
+			}
 			// Idle connections of peers stay open; they carry no request any more.
 			short, cancel := context.WithTimeout(ctx, closeTimeout)
 			defer cancel()
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -29,14 +29,15 @@
 	Process    Process
 	Background *background
 	Config     config.Source
+	Holder     *config.Holder
 	KV         platform.KV
 	Events     *telemetry.FlightLog
 	Logger     *log.Logger
 }
 
-func newSidecarParts(d sidecarDeps) (roleParts, error) {
+func newSidecarParts(d sidecarDeps) roleParts {
 	if d.Process.Settings.Upstream.Kind == settings.UpstreamService {
-		return newServiceSidecar(d), nil
+		return newServiceSidecar(d)
 	}
 	return newModelSidecar(d)
 }
@@ -58,13 +59,10 @@
 	}
 }
 
-func newModelSidecar(d sidecarDeps) (roleParts, error) {
+func newModelSidecar(d sidecarDeps) roleParts {
 	s := d.Process.Settings
 	engineURL := "http://" + s.Upstream.Address
-	client, err := engine.NewHTTP(engine.Options{URL: engineURL, Dial: engine.DialFunc(d.Process.Dial)})
-	if err != nil {
-		return roleParts{}, err
-	}
+	client := engine.NewHTTP(engine.HTTPOptions{BaseURL: engineURL, Dial: engine.DialFunc(d.Process.Dial)})
 	sc := sidecar.New(sidecar.Options{
 		Upstream:    s.Upstream.Name,
 		Instance:    s.Instance,
@@ -76,10 +74,18 @@
 		Logger:      d.Logger,
 		KV:          d.KV,
 	})
-	d.Lifecycle.Append(fx.StartHook(func() { d.Background.run("sidecar", sc.Run) }))
+	d.Lifecycle.Append(fx.StartHook(func() {
+		d.Background.run("sidecar", func(ctx context.Context) error {
+			// Without a policy the sidecar cannot decide whom to grant.
+			if _, err := d.Holder.Wait(ctx, 1); err != nil {
+				return err
+			}
+			return sc.Run(ctx)
+		})
+	}))
 	return roleParts{
 		streams: map[string]http.Handler{"/stream/": sc.Handler()},
 		dump:    func() map[string]any { return map[string]any{"engine": sc.State()} },
-		drain:   func(ctx context.Context) error { return sc.Drain(ctx) },
-	}, nil
+		drain:   sc.Drain,
+	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,7 +28,12 @@
 }
 
 func commands() []subcommands.Command {
+	env := OSEnv()
 	return []subcommands.Command{
+		Serve(env),
+		Check(env),
+		Ticket(env),
+		Demo(env),
 		&Dump{},
 		&Explain{},
 		&Fairness{},
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,126 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/app"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/strictyaml"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+type serveCommand struct {
+	env    Env
+	config string
+}
+
+// Serve returns the command that runs a process until it is told to stop.
+func Serve(env Env) subcommands.Command { return &serveCommand{env: env} }
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run an entry or a sidecar" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string {
+	return `serve -config FILE
+  Runs the role that the settings name until SIGTERM or SIGINT, then shuts down
+  gracefully: it refuses new work and waits for the requests in progress.
+  A second signal ends the process at once.
+  Exit code 2 when the settings have faults, 1 when the process cannot start.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings file (YAML)")
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.config == "" {
+		c.env.errorf("serve: name the settings file with -config FILE\n")
+		return exitFaults
+	}
+	s, err := settings.Load(c.config)
+	if err != nil {
+		c.env.errorf("serve: %v\n", err)
+		var faults *strictyaml.Error
+		if errors.As(err, &faults) {
+			return exitFaults
+		}
+		return subcommands.ExitFailure
+	}
+	process, err := c.process(s)
+	if err != nil {
+		c.env.errorf("serve: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	return c.run(ctx, process)
+}
+
+// process opens the listeners and the clients that the settings name.
+func (c *serveCommand) process(s *settings.Settings) (app.Process, error) {
+	logger, err := telemetry.NewLogger(c.env.Stderr, telemetry.LogFormat(s.Log.Format), s.Log.Level)
+	if err != nil {
+		return app.Process{}, err
+	}
+	p := app.Process{
+		Settings:    s,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Dial:        wire.DefaultDial(),
+		Logger:      logger.With("instance", s.Instance),
+	}
+	if p.KV, err = platform.NewClient(platform.ClientOptions{URL: s.Platform.KV}); err != nil {
+		return p, err
+	}
+	if p.Instances, err = platform.NewInstancesClient(platform.InstancesOptions{URL: s.Platform.Instances}); err != nil {
+		return p, err
+	}
+	return p, listen(&p)
+}
+
+func listen(p *app.Process) error {
+	s := p.Settings
+	var err error
+	if s.Role == settings.RoleEntry {
+		if p.CallerListener, err = net.Listen("tcp", s.Listen.Caller); err != nil {
+			return err
+		}
+	}
+	if p.PeerListener, err = net.Listen("tcp", s.Listen.Peer); err != nil {
+		return err
+	}
+	p.AdminListener, err = net.Listen("tcp", s.Listen.Admin)
+	return err
+}
+
+func (c *serveCommand) run(ctx context.Context, p app.Process) subcommands.ExitStatus {
+	a := fx.New(app.Options(p))
+	if err := a.Start(ctx); err != nil {
+		c.env.errorf("serve: %v\n", err)
+		return subcommands.ExitFailure
+	}
+	p.Logger.Info("started", "role", p.Settings.Role, "peer", p.PeerListener.Addr().String(), "admin", p.AdminListener.Addr().String())
+	// fx catches the signals; Done also reports a drain that an operator asked for.
+	<-a.Done()
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout())
+	defer cancel()
+	if err := a.Stop(stopCtx); err != nil {
+		p.Logger.Error("shutdown failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	p.Logger.Info("stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/demo/calls.go
@@ -0,0 +1,220 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// modelCall is one completion call of a caller.
+type modelCall struct {
+	client     *http.Client
+	url, key   string
+	chat       bool
+	stream     bool
+	prompt     string
+	maxTokens  int
+	leaveAfter time.Duration // 0: the caller stays
+}
+
+// modelResult is what the caller saw.
+type modelResult struct {
+	status    int
+	outcome   string
+	errorKind string
+	text      string
+	done      bool // a stream ended in [DONE], or a whole body arrived
+	left      bool
+	err       error
+	ttft      time.Duration
+	total     time.Duration
+	tokens    int
+	requestID string
+}
+
+type callMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type callBody struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt,omitempty"`
+	Messages  []callMessage `json:"messages,omitempty"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type callReply struct {
+	Choices []struct {
+		Text    string       `json:"text"`
+		Message *callMessage `json:"message"`
+		Delta   *callMessage `json:"delta"`
+	} `json:"choices"`
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+func (r *callReply) text() string {
+	if len(r.Choices) == 0 {
+		return ""
+	}
+	switch c := r.Choices[0]; {
+	case c.Message != nil:
+		return c.Message.Content
+	case c.Delta != nil:
+		return c.Delta.Content
+	default:
+		return c.Text
+	}
+}
+
+// enginePrompt is the text that the engines see.
+func (c modelCall) enginePrompt() string {
+	if c.chat {
+		return "user: " + c.prompt + "\nassistant:"
+	}
+	return c.prompt
+}
+
+func (c modelCall) run(ctx context.Context) modelResult {
+	if c.leaveAfter > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.leaveAfter)
+		defer cancel()
+	}
+	var result modelResult
+	begin := time.Now()
+	resp, err := c.send(ctx)
+	if err != nil {
+		result.err, result.left = err, ctx.Err() != nil
+		return result
+	}
+	defer func() { _ = resp.Body.Close() }()
+	result.status = resp.StatusCode
+	result.outcome = resp.Header.Get("Fescueslip-Outcome")
+	result.requestID = resp.Header.Get("X-Request-Id")
+	if c.stream && resp.StatusCode == http.StatusOK {
+		c.readStream(resp.Body, begin, &result)
+	} else {
+		c.readWhole(resp.Body, begin, &result)
+	}
+	result.total = time.Since(begin)
+	result.tokens = len(strings.Fields(result.text))
+	result.left = ctx.Err() != nil
+	return result
+}
+
+func (c modelCall) send(ctx context.Context) (*http.Response, error) {
+	body := callBody{Model: modelName, MaxTokens: c.maxTokens, Stream: c.stream}
+	path := "/v1/completions"
+	if c.chat {
+		path = "/v1/chat/completions"
+		body.Messages = []callMessage{{Role: "user", Content: c.prompt}}
+	} else {
+		body.Prompt = c.prompt
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	return c.client.Do(req)
+}
+
+func (c modelCall) readStream(body io.Reader, begin time.Time, result *modelResult) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			result.done = true
+			continue
+		}
+		var reply callReply
+		if err := json.Unmarshal([]byte(data), &reply); err != nil {
+			result.err = err
+			return
+		}
+		if reply.Error != nil {
+			result.errorKind = reply.Error.Code
+		}
+		if result.ttft == 0 && reply.text() != "" {
+			result.ttft = time.Since(begin)
+		}
+		result.text += reply.text()
+	}
+	result.err = scanner.Err()
+}
+
+func (c modelCall) readWhole(body io.Reader, begin time.Time, result *modelResult) {
+	var reply callReply
+	if result.err = json.NewDecoder(body).Decode(&reply); result.err != nil {
+		return
+	}
+	if reply.Error != nil {
+		result.errorKind = reply.Error.Code
+		return
+	}
+	result.ttft = time.Since(begin)
+	result.text = reply.text()
+	result.done = true
+}
+
+// plainCall is one call of a plain service.
+type plainCall struct {
+	client         *http.Client
+	method, url    string
+	key            string
+	idempotencyKey string
+	body           string
+}
+
+type plainResult struct {
+	status    int
+	outcome   string
+	errorKind string
+	body      string
+	err       error
+	took      time.Duration
+}
+
+func (c plainCall) run(ctx context.Context) plainResult {
+	var result plainResult
+	begin := time.Now()
+	req, err := http.NewRequestWithContext(ctx, c.method, c.url, strings.NewReader(c.body))
+	if err != nil {
+		return plainResult{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if c.idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", c.idempotencyKey)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return plainResult{err: err, took: time.Since(begin)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	result.status, result.outcome, result.body, result.err = resp.StatusCode, resp.Header.Get("Fescueslip-Outcome"), string(raw), err
+	result.took = time.Since(begin)
+	var reply callReply
+	if json.Unmarshal(raw, &reply) == nil && reply.Error != nil {
+		result.errorKind = reply.Error.Code
+	}
+	return result
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -202,7 +202,10 @@
 	if out == nil {
 		return nil
 	}
-	return errors.Wrapf(json.Unmarshal(body, out), "decode the engine's answer to %s", path)
+	if err := json.Unmarshal(body, out); err != nil {
+		return errors.Wrapf(err, "decode the engine's answer to %s", path)
+	}
+	return nil
 }
 
 func (c *HTTP) send(ctx context.Context, hc *http.Client, method, path string, in any) (*http.Response, error) {
