Run the whole fleet in virtual time under random faults

Cause of the first hang: a sync.Once held across calls to the engine keeps testing/synctest from advancing time; the sidecar now waits on a channel.

--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -147,6 +147,8 @@
 
 // serve runs a server from start to stop of the process.
 func serve(lc fx.Lifecycle, p Process, l net.Listener, srv *http.Server, logger *log.Logger) {
+	// The HTTP library reports broken connections, which are part of normal work.
+	srv.ErrorLog = logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
--- a/internal/demo/control.go
+++ b/internal/demo/control.go
@@ -51,26 +51,11 @@
 		f.registry.AddTarget(n.name(), map[string]control.FaultFunc{
 			"crash":   func(d time.Duration) error { n.crash(d); return nil },
 			"silence": func(time.Duration) error { n.silence(); return nil },
-			"down":    func(d time.Duration) error { f.restart(n, d); return nil },
+			"down":    func(d time.Duration) error { n.restart(d); return nil },
 		})
 	}
 }
 
-// restart stops a process gracefully and starts it again after d.
-func (f *Fleet) restart(n *node, d time.Duration) {
-	f.cleanup.Go(func() {
-		if err := n.stop(context.Background()); err != nil {
-			f.logger.Error("graceful stop failed", "err", err)
-		}
-		if !f.sleep(d) {
-			return
-		}
-		if err := n.start(context.Background()); err != nil {
-			f.logger.Error("instance did not start again", "err", err)
-		}
-	})
-}
-
 // readyPoll is the time between two looks at the processes' readiness.
 const readyPoll = 50 * time.Millisecond
 
--- a/internal/demo/node.go
+++ b/internal/demo/node.go
@@ -16,6 +16,15 @@
 	"github.com/fescueslip/fescueslip/internal/standin/instances"
 )
 
+// phase is where a node is in its life.
+type phase int
+
+const (
+	down phase = iota
+	running
+	stopping
+)
+
 // node is one process of the system inside the demo. It can be stopped
 // gracefully, killed, and started again as a new incarnation.
 type node struct {
@@ -23,6 +32,7 @@
 	settings settings.Settings
 
 	mu          sync.Mutex
+	phase       phase
 	incarnation uint64
 	host        *host
 	app         *fx.App
@@ -47,6 +57,7 @@
 		return errors.Wrapf(err, "start %s", n.name())
 	}
 	n.peer, n.admin = p.PeerListener.Addr().String(), p.AdminListener.Addr().String()
+	n.phase = running
 	n.register()
 	return nil
 }
@@ -112,39 +123,64 @@
 	})
 }
 
-// stop shuts the process down gracefully and takes it off the list.
-func (n *node) stop(ctx context.Context) error {
+// restart stops the process gracefully and starts it again after d. A process
+// that is already down or stopping is left alone.
+func (n *node) restart(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.phase != running {
+		return
+	}
+	n.phase = stopping
+	old, oldHost := n.app, n.host
 	n.fleet.list.Leave(n.name())
-	err := n.app.Stop(ctx)
-	n.host.kill()
-	n.fleet.list.Remove(n.name())
-	return err
+	n.fleet.cleanup.Go(func() {
+		if err := old.Stop(context.Background()); err != nil {
+			n.fleet.logger.Error("graceful stop failed", "instance", n.name(), "err", err)
+		}
+		oldHost.kill()
+		n.fleet.list.Remove(n.name())
+		n.startAfter(d)
+	})
+}
+
+// crash kills the process in the middle of whatever it does and starts it again
+// after d. A process that is stopping loses its graceful shutdown.
+func (n *node) crash(d time.Duration) {
+	if n.kill() {
+		n.fleet.cleanup.Go(func() { n.startAfter(d) })
+	}
 }
 
-// kill ends the process in the middle of whatever it does. Its goroutines are
-// cleaned up afterwards, without a network.
-func (n *node) kill() {
+// kill ends the process without a graceful shutdown; its goroutines are cleaned
+// up without a network. It reports whether the process was running.
+func (n *node) kill() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.app == nil {
+		return false
+	}
 	n.end()
 	n.host.kill()
+	if n.phase != running {
+		return false
+	}
+	n.phase = down
 	dead := n.app
 	n.fleet.cleanup.Go(func() { _ = dead.Stop(context.Background()) })
+	return true
 }
 
-// crash kills the process and starts it again after d.
-func (n *node) crash(d time.Duration) {
-	n.kill()
-	n.fleet.cleanup.Go(func() {
-		if !n.fleet.sleep(d) {
-			return
-		}
-		if err := n.start(context.Background()); err != nil {
-			n.fleet.logger.Error("instance did not start again", "err", err)
-		}
-	})
+func (n *node) startAfter(d time.Duration) {
+	n.mu.Lock()
+	n.phase = down
+	n.mu.Unlock()
+	if !n.fleet.sleep(d) {
+		return
+	}
+	if err := n.start(context.Background()); err != nil {
+		n.fleet.logger.Error("instance did not start again", "err", err)
+	}
 }
 
 func (n *node) silence() {
--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,7 +22,7 @@
 	s      *Sidecar
 	c      *decodeClaim
 	starts chan *wire.Start
-	once   sync.Once
+	once   once
 }
 
 func (s *Sidecar) serveDecode(w http.ResponseWriter, r *http.Request) {
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -30,7 +29,7 @@
 	s      *Sidecar
 	c      *prefillClaim
 	prompt string
-	once   sync.Once
+	once   once
 }
 
 func (s *Sidecar) servePrefill(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -180,6 +180,15 @@
 	writeJSON(w, http.StatusOK, in)
 }
 
+// Start starts a fault as POST /faults does.
+func (r *Registry) Start(target, kind string, d time.Duration) error {
+	start, p := r.find(faultCall{Target: target, Kind: kind})
+	if p != nil {
+		return fmt.Errorf("%s: %s", p.Message, p.Remedy)
+	}
+	return start(d)
+}
+
 func parseFor(s string) (time.Duration, error) {
 	if s == "" {
 		return DefaultFor, nil
