--- a/internal/engine/decode.go
+++ b/internal/engine/decode.go
@@ -84,12 +84,19 @@
 	s.cancel(context.Canceled)
 }
 
-// Close implements TokenStream. A stream read to its last line leaves its
-// connection to the next call.
+// Close implements TokenStream. The connection of a stream that was read to its
+// last line is left to the next call once the engine has ended the answer.
 func (s *tokenStream) Close() error {
 	if s.ended {
-		_, _ = io.CopyN(io.Discard, s.body, 1)
+		go s.drain()
+		return nil
 	}
 	s.stop()
 	return s.body.Close()
 }
+
+func (s *tokenStream) drain() {
+	_, _ = io.CopyN(io.Discard, s.body, 1)
+	s.stop()
+	_ = s.body.Close()
+}
--- /dev/null
+++ b/internal/sidecar/decode_test.go
@@ -0,0 +1,168 @@
+package sidecar
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// Guards against lost, repeated or reordered tokens and against memory and
+// slots that stay owned after a normal end.
+func TestDecodeRunsToItsEnd(t *testing.T) {
+	inRig(t, newFakeEngine(engine.RoleDecode), func(r *rig) {
+		d := r.decode(reserveFrame("a", "x"))
+		defer d.Close()
+		if d.until(isGranted) == nil {
+			t.Fatal("no grant")
+		}
+		d.start("h")
+		next := uint64(0)
+		last := d.until(func(m *wire.DecodeReply) bool {
+			if k := m.GetTokens(); k != nil {
+				if k.Index != next || k.Attempt != 1 {
+					t.Fatalf("tokens at %d of attempt %d, want %d of 1", k.Index, k.Attempt, next)
+				}
+				next += uint64(len(k.Text))
+			}
+			return isLast(m)
+		})
+		if next != 20 || last.GetDone().GetTotalTokens() != 20 || last.GetDone().GetFinishReason() != "stop" {
+			t.Fatalf("got %d tokens, end %v", next, last)
+		}
+		synctest.Wait()
+		st := r.side.State()
+		if st.Decode.SlotsUsed != 0 || st.Decode.ChunksUsed != 0 || st.Requests != 0 {
+			t.Fatalf("still owned: %+v", st.Decode)
+		}
+	})
+}
+
+// Guards against engine memory that stays held after a Cancel or on a stream
+// that went silent, at every step of a request.
+func TestMemoryIsFreedAtEveryStep(t *testing.T) {
+	steps := []struct {
+		name string
+		to   func(d *decodeStream)
+	}{
+		{"granted", func(d *decodeStream) { d.until(isGranted) }},
+		{"importing", func(d *decodeStream) {
+			d.until(isGranted)
+			d.start("h")
+			time.Sleep(10 * time.Millisecond)
+		}},
+		{"imported", func(d *decodeStream) {
+			d.until(isGranted)
+			d.start("h")
+			d.until(isImported)
+		}},
+		{"decoding", func(d *decodeStream) {
+			d.until(isGranted)
+			d.start("h")
+			d.until(isTokens)
+		}},
+	}
+	ends := []struct {
+		name  string
+		end   func(r *rig, d *decodeStream)
+		bound time.Duration
+	}{
+		{"cancel", func(_ *rig, d *decodeStream) { d.cancel() }, 250 * time.Millisecond},
+		{"close", func(_ *rig, d *decodeStream) { d.Close() }, 250 * time.Millisecond},
+		{"silence", func(r *rig, _ *decodeStream) { r.net.Silence(testAddr, true) }, 3 * time.Second},
+		{"cancel with a lost answer", func(r *rig, d *decodeStream) {
+			r.engine.lostCancels = 1
+			d.cancel()
+		}, 250 * time.Millisecond},
+	}
+	for _, step := range steps {
+		for _, end := range ends {
+			t.Run(step.name+"/"+end.name, func(t *testing.T) {
+				f := newFakeEngine(engine.RoleDecode)
+				f.outputTokens = 10_000
+				inRig(t, f, func(r *rig) {
+					d := r.decode(reserveFrame("a", "x"))
+					defer d.Close()
+					step.to(d)
+					end.end(r, d)
+					time.Sleep(end.bound)
+					synctest.Wait()
+					if n := r.engine.held(); n != 0 {
+						t.Fatalf("engine holds %d tokens %v after the end", n, end.bound)
+					}
+					if st := r.side.State().Decode; st.SlotsUsed != 0 || st.ChunksUsed != 0 {
+						t.Fatalf("reservation kept: %+v", st)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a stalled transfer that holds memory at the decode end, blocks
+// the link or loses the reservation.
+func TestStalledTransferCanBeRepeated(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	f.stallImports = transferConcurrency
+	inRig(t, f, func(r *rig) {
+		a, b := r.decode(reserveFrame("a", "x")), r.decode(reserveFrame("b", "x"))
+		defer a.Close()
+		defer b.Close()
+		for _, d := range []*decodeStream{a, b} {
+			d.until(isGranted)
+			d.start("h")
+		}
+		for _, d := range []*decodeStream{a, b} {
+			if m := d.until(isLast); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_TRANSFER {
+				t.Fatalf("got %v, want a failed transfer", m)
+			}
+		}
+		if n := r.engine.held(); n != 0 {
+			t.Fatalf("engine holds %d tokens after the stall", n)
+		}
+		a.start("h")
+		if m := a.until(isLast); m.GetDone() == nil {
+			t.Fatalf("got %v, want the answer from the second transfer", m)
+		}
+		b.start("evicted")
+		if m := b.until(isLast); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_EVICTED {
+			t.Fatalf("got %v, want evicted", m)
+		}
+	})
+}
+
+// Guards against grants beyond what the engine holds, and against an engine
+// that idles while requests wait.
+func TestNoGrantBeyondSlotsOrChunks(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	inRig(t, f, func(r *rig) {
+		done := make(chan *wire.DecodeReply)
+		const n = 12
+		for i := range n {
+			d := r.decode(reserveFrame(string(rune('a'+i)), "x"))
+			go func() {
+				defer d.Close()
+				if d.until(isGranted) == nil {
+					done <- nil
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				d.start("h")
+				done <- d.until(isLast)
+			}()
+		}
+		for range n {
+			if m := <-done; m.GetDone() == nil {
+				t.Fatalf("got %v, want an answer", m)
+			}
+		}
+		if f.peak.running > f.info.Slots || f.peak.chunks*f.info.ChunkTokens > f.info.CapacityTokens {
+			t.Fatalf("peak of %d requests and %d chunks on an engine with %d slots", f.peak.running, f.peak.chunks, f.info.Slots)
+		}
+		if f.peak.running < f.info.Slots {
+			t.Fatalf("peak of %d requests, want the engine full", f.peak.running)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sidecar/fake_test.go
@@ -0,0 +1,308 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/engine"
+)
+
+// fakeEngine is an engine in virtual time that checks what a real one would
+// suffer from: it counts memory and remembers its peak.
+type fakeEngine struct {
+	mu      sync.Mutex
+	info    engine.Info
+	alive   context.Context
+	kill    context.CancelFunc
+	down    bool
+	reqs    map[string]*fakeRequest
+	peak    struct{ running, chunks int }
+	starts  []string // request ids in the order in which work began
+	current engine.Order
+
+	prefillTime, importTime, step time.Duration
+	outputTokens                  int
+	stallImports                  int // imports that never end
+	lostCancels                   int // cancels without an answer
+	crashOn                       string
+	lateOrder                     *engine.Order // applied after the next order
+}
+
+type fakeRequest struct {
+	phase  engine.Phase
+	tokens int
+	chunks int
+	handle string
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newFakeEngine(role engine.Role) *fakeEngine {
+	f := &fakeEngine{
+		info: engine.Info{
+			BootID: "boot-1", Role: role, Slots: 4, CapacityTokens: 800, ChunkTokens: 100,
+			MaxPromptTokens: 600, PrefillTokensPerS: 1000, LinkBytesPerSecond: 1e6,
+		},
+		reqs:         map[string]*fakeRequest{},
+		prefillTime:  100 * time.Millisecond,
+		importTime:   20 * time.Millisecond,
+		step:         10 * time.Millisecond,
+		outputTokens: 20,
+	}
+	f.alive, f.kill = context.WithCancel(context.Background())
+	return f
+}
+
+// crash ends all work and starts the engine again with a new boot id.
+func (f *fakeEngine) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kill()
+	f.reqs = map[string]*fakeRequest{}
+	f.alive, f.kill = context.WithCancel(context.Background())
+	f.info.BootID += "+"
+}
+
+func (f *fakeEngine) held() (tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.reqs {
+		tokens += r.chunks * f.info.ChunkTokens
+	}
+	return tokens
+}
+
+func (f *fakeEngine) begin(id string, phase engine.Phase, tokens int) (*fakeRequest, context.Context, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, nil, engine.ErrUnreachable
+	}
+	r := &fakeRequest{phase: phase, tokens: tokens}
+	r.ctx, r.cancel = context.WithCancel(f.alive)
+	f.reqs[id] = r
+	f.starts = append(f.starts, id)
+	f.resize(r, tokens)
+	return r, f.alive, nil
+}
+
+// resize allocates whole chunks and notes the peak.
+func (f *fakeEngine) resize(r *fakeRequest, tokens int) {
+	r.chunks = max(r.chunks, (tokens+f.info.ChunkTokens-1)/f.info.ChunkTokens)
+	running, chunks := 0, 0
+	for _, x := range f.reqs {
+		running++
+		chunks += x.chunks
+	}
+	f.peak.running = max(f.peak.running, running)
+	f.peak.chunks = max(f.peak.chunks, chunks)
+}
+
+// wait works on r for d. It tells why the work ended early.
+func (f *fakeEngine) wait(ctx, alive context.Context, r *fakeRequest, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-r.ctx.Done():
+		if alive.Err() != nil {
+			return engine.ErrUnreachable
+		}
+		return &engine.APIError{Status: 499, Code: engine.CodeCancelled}
+	}
+}
+
+func (f *fakeEngine) call() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return engine.ErrUnreachable
+	}
+	return nil
+}
+
+func (f *fakeEngine) Health(context.Context) error { return f.call() }
+
+func (f *fakeEngine) Info(context.Context) (engine.Info, error) {
+	if err := f.call(); err != nil {
+		return engine.Info{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.info, nil
+}
+
+func (f *fakeEngine) Prefill(ctx context.Context, q engine.PrefillRequest) (engine.PrefillResult, error) {
+	tokens := len(strings.Fields(q.Prompt))
+	r, alive, err := f.begin(q.RequestID, engine.PhasePrefill, tokens)
+	if err != nil {
+		return engine.PrefillResult{}, err
+	}
+	if q.Prompt == f.crashOn && q.Prompt != "" {
+		f.crash()
+	}
+	if err := f.wait(ctx, alive, r, f.prefillTime); err != nil {
+		return engine.PrefillResult{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.phase, r.handle = engine.PhaseHeld, "h-"+q.RequestID
+	return engine.PrefillResult{Handle: r.handle, Tokens: tokens, KVBytes: int64(tokens) * 100, HoldMS: 800}, nil
+}
+
+func (f *fakeEngine) Release(_ context.Context, handle string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, r := range f.reqs {
+		if r.handle == handle {
+			delete(f.reqs, id)
+		}
+	}
+	return nil
+}
+
+func (f *fakeEngine) Import(ctx context.Context, q engine.ImportRequest) (engine.ImportResult, error) {
+	r, alive, err := f.begin(q.RequestID, engine.PhaseImporting, q.ReserveTokens)
+	if err != nil {
+		return engine.ImportResult{}, err
+	}
+	if q.Handle == "evicted" {
+		return engine.ImportResult{}, &engine.APIError{Status: 404, Code: engine.CodeEvicted}
+	}
+	took := f.importTime
+	f.mu.Lock()
+	if f.stallImports > 0 {
+		f.stallImports--
+		took = time.Hour
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeoutCause(ctx, q.Timeout, engine.ErrSilent)
+	defer cancel()
+	if err := f.wait(ctx, alive, r, took); err != nil {
+		return engine.ImportResult{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.phase = engine.PhaseImported
+	return engine.ImportResult{HeldTokens: r.chunks * f.info.ChunkTokens}, nil
+}
+
+func (f *fakeEngine) Decode(ctx context.Context, q engine.DecodeRequest) (engine.TokenStream, error) {
+	f.mu.Lock()
+	r := f.reqs[q.RequestID]
+	f.mu.Unlock()
+	if r == nil {
+		return nil, &engine.APIError{Status: 404, Code: engine.CodeNotImported}
+	}
+	if q.Prompt == f.crashOn && q.Prompt != "" {
+		f.crash()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.phase = engine.PhaseDecoding
+	return &fakeStream{f: f, r: r, ctx: ctx, q: q, alive: f.alive, next: q.ResumeTokens, prompt: len(strings.Fields(q.Prompt))}, nil
+}
+
+type fakeStream struct {
+	f      *fakeEngine
+	r      *fakeRequest
+	q      engine.DecodeRequest
+	ctx    context.Context
+	alive  context.Context
+	next   int
+	prompt int
+}
+
+func (s *fakeStream) Next() (engine.Token, error) {
+	if err := s.f.wait(s.ctx, s.alive, s.r, s.f.step); err != nil {
+		return engine.Token{}, err
+	}
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	t := engine.Token{Index: s.next, Text: fmt.Sprint("t", s.next)}
+	s.next++
+	s.f.resize(s.r, s.prompt+s.next)
+	if s.next >= s.f.outputTokens {
+		t.FinishReason = "stop"
+		delete(s.f.reqs, s.q.RequestID)
+	}
+	return t, nil
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+func (f *fakeEngine) Cancel(ctx context.Context, id string) (engine.CancelResult, error) {
+	f.mu.Lock()
+	if f.lostCancels > 0 {
+		f.lostCancels--
+		f.mu.Unlock()
+		<-ctx.Done()
+		return engine.CancelResult{}, engine.ErrSilent
+	}
+	defer f.mu.Unlock()
+	if f.down {
+		return engine.CancelResult{}, engine.ErrUnreachable
+	}
+	r, ok := f.reqs[id]
+	if !ok {
+		return engine.CancelResult{}, nil
+	}
+	delete(f.reqs, id)
+	r.cancel()
+	return engine.CancelResult{FreedTokens: r.chunks * f.info.ChunkTokens}, nil
+}
+
+func (f *fakeEngine) Requests(context.Context) ([]engine.RequestInfo, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, engine.ErrUnreachable
+	}
+	var out []engine.RequestInfo
+	for id, r := range f.reqs {
+		out = append(out, engine.RequestInfo{RequestID: id, Phase: r.phase, HeldTokens: r.chunks * f.info.ChunkTokens})
+	}
+	return out, nil
+}
+
+func (f *fakeEngine) Load(context.Context) (engine.Load, error) { return engine.Load{}, f.call() }
+
+func (f *fakeEngine) CacheEvents(context.Context, uint64) (engine.CacheEvents, error) {
+	return engine.CacheEvents{}, f.call()
+}
+
+func (f *fakeEngine) IssueOrder(_ context.Context, o engine.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(o)
+	if f.lateOrder != nil {
+		f.apply(*f.lateOrder)
+		f.lateOrder = nil
+	}
+	return nil
+}
+
+func (f *fakeEngine) apply(o engine.Order) {
+	f.current = o
+	if o.Kind == engine.OrderSetRole {
+		f.info.Role = o.Role
+	}
+}
+
+func (f *fakeEngine) CurrentOrder(context.Context) (engine.Order, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.current.ID != "", nil
+}
+
+var (
+	_ engine.Client = (*fakeEngine)(nil)
+	_ io.Closer     = (*fakeStream)(nil)
+)
--- /dev/null
+++ b/internal/sidecar/harness_test.go
@@ -0,0 +1,202 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const (
+	testSecret = "secret"
+	testAddr   = "sidecar:1"
+)
+
+// rig runs a Sidecar over an in-memory network in virtual time.
+type rig struct {
+	t      *testing.T
+	net    *memnet.Network
+	engine *fakeEngine
+	side   *Sidecar
+	client *http.Client
+	stop   func()
+}
+
+// inRig runs a test in virtual time, with everything stopped at its end.
+func inRig(t *testing.T, f *fakeEngine, test func(r *rig), policies ...func(*config.Policy)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := config.DefaultPolicy()
+		for _, set := range policies {
+			set(&p)
+		}
+		r := &rig{t: t, net: memnet.New(0), engine: f}
+		f.alive, f.kill = context.WithCancel(context.Background())
+		r.side = New(Options{
+			Upstream:  "up",
+			Instance:  "i",
+			Engine:    f,
+			EngineURL: "http://engine:1",
+			Config:    config.Static{Current: config.Build(1, config.Objects{Policy: &p})},
+			Logger:    log.New(io.Discard),
+		})
+		r.start()
+		defer r.stop()
+		time.Sleep(10 * time.Millisecond)
+		test(r)
+	})
+}
+
+func (r *rig) start() {
+	l, err := r.net.Listen(testAddr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	srv := wire.NewServer(wire.RequireSecret(testSecret, r.side.Handler()))
+	go func() { _ = srv.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = r.side.Run(ctx)
+		close(done)
+	}()
+	r.client = wire.NewClient(r.net.Dial)
+	r.stop = func() {
+		cancel()
+		<-done
+		_ = srv.Close()
+		r.client.CloseIdleConnections()
+		time.Sleep(10 * time.Second)
+	}
+}
+
+// decodeStream is an entry's end of a decode stream.
+type decodeStream struct {
+	*wire.Stream[*wire.DecodeRequest, *wire.DecodeReply]
+	t *testing.T
+}
+
+func (r *rig) decode(res *wire.Reserve) *decodeStream {
+	r.t.Helper()
+	s, err := wire.Dial[*wire.DecodeRequest](context.Background(), r.client, "http://"+testAddr+"/stream/decode", testSecret,
+		func() *wire.DecodeReply { return new(wire.DecodeReply) })
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	d := &decodeStream{Stream: s, t: r.t}
+	d.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Reserve{Reserve: res}})
+	go s.Heartbeat(func() *wire.DecodeRequest {
+		return &wire.DecodeRequest{Body: &wire.DecodeRequest_Renew{Renew: &wire.Renew{}}}
+	})
+	return d
+}
+
+func (d *decodeStream) send(m *wire.DecodeRequest) {
+	d.t.Helper()
+	if err := d.Send(m); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *decodeStream) start(handle string) {
+	d.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Start{Start: &wire.Start{
+		SourceUrl: "http://prefill:1", Handle: handle, KvBytes: 1000, Prompt: words(100), MaxTokens: 500,
+	}}})
+}
+
+func (d *decodeStream) cancel() {
+	d.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Cancel{Cancel: &wire.Cancel{Reason: "test"}}})
+}
+
+// until reads frames up to the first one that match accepts. It returns nil
+// when the stream ends before.
+func (d *decodeStream) until(match func(*wire.DecodeReply) bool) *wire.DecodeReply {
+	for {
+		m, err := d.Recv()
+		if err != nil {
+			return nil
+		}
+		if match(m) {
+			return m
+		}
+	}
+}
+
+func isGranted(m *wire.DecodeReply) bool  { return m.GetGranted() != nil }
+func isImported(m *wire.DecodeReply) bool { return m.GetImported() != nil }
+func isTokens(m *wire.DecodeReply) bool   { return m.GetTokens() != nil }
+func isQueued(m *wire.DecodeReply) bool   { return m.GetQueued() != nil }
+func isLast(m *wire.DecodeReply) bool {
+	return m.GetDone() != nil || m.GetFailed() != nil || m.GetRefused() != nil
+}
+
+// prefillStream is an entry's end of a prefill stream.
+type prefillStream struct {
+	*wire.Stream[*wire.PrefillRequest, *wire.PrefillReply]
+	t *testing.T
+}
+
+func (r *rig) prefill(p *wire.Prefill) *prefillStream {
+	r.t.Helper()
+	s, err := wire.Dial[*wire.PrefillRequest](context.Background(), r.client, "http://"+testAddr+"/stream/prefill", testSecret,
+		func() *wire.PrefillReply { return new(wire.PrefillReply) })
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := s.Send(&wire.PrefillRequest{Body: &wire.PrefillRequest_Prefill{Prefill: p}}); err != nil {
+		r.t.Fatal(err)
+	}
+	go s.Heartbeat(func() *wire.PrefillRequest {
+		return &wire.PrefillRequest{Body: &wire.PrefillRequest_Renew{Renew: &wire.Renew{}}}
+	})
+	return &prefillStream{Stream: s, t: r.t}
+}
+
+func (p *prefillStream) cancel() {
+	if err := p.Send(&wire.PrefillRequest{Body: &wire.PrefillRequest_Cancel{Cancel: &wire.Cancel{}}}); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *prefillStream) until(match func(*wire.PrefillReply) bool) *wire.PrefillReply {
+	for {
+		m, err := p.Recv()
+		if err != nil {
+			return nil
+		}
+		if match(m) {
+			return m
+		}
+	}
+}
+
+func isStarted(m *wire.PrefillReply) bool { return m.GetStarted() != nil }
+func isReady(m *wire.PrefillReply) bool   { return m.GetReady() != nil }
+func isPrefillEnd(m *wire.PrefillReply) bool {
+	return m.GetFailed() != nil || m.GetRefused() != nil
+}
+
+func words(n int) string { return strings.TrimSpace(strings.Repeat("w ", n)) }
+
+func reserveFrame(id, caller string) *wire.Reserve {
+	return &wire.Reserve{
+		RequestId: id, Attempt: 1, Caller: caller, Share: 1, Model: "m", PromptTokens: 100,
+		PredictedTokens: 50, PrefillMs: 100, TtftBudgetMs: 1000, Fingerprint: []byte("fp-" + id), Source: "e1",
+	}
+}
+
+func prefillFrame(id, caller string) *wire.Prefill {
+	return &wire.Prefill{
+		RequestId: id, Attempt: 1, Caller: caller, Share: 1, Model: "m", Prompt: words(100),
+		PromptTokens: 100, TtftBudgetMs: 1000, Fingerprint: []byte("fp-" + id), Source: "e1",
+	}
+}
--- /dev/null
+++ b/internal/sidecar/monitor.go
@@ -0,0 +1,184 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/engine"
+)
+
+const (
+	// probeInterval keeps the detection of a restarted engine within a second.
+	probeInterval = 500 * time.Millisecond
+	// downInterval is the interval while the engine is down.
+	downInterval = 200 * time.Millisecond
+)
+
+// errEngineLost reports that the engine died while it worked on a request.
+var errEngineLost = errors.New("the engine died while it ran the request")
+
+// EngineState tells whether the engine can take work.
+type EngineState string
+
+// The states of an engine.
+const (
+	EngineUnknown EngineState = "unknown" // not yet reached
+	EngineUp      EngineState = "up"
+	EngineSilent  EngineState = "silent" // connected, but not answering
+	EngineDown    EngineState = "down"
+)
+
+// boot is one life of the engine. ctx ends with errEngineLost when it ends.
+type boot struct {
+	info engine.Info
+	ctx  context.Context
+	end  context.CancelCauseFunc
+}
+
+// lost reports whether this life of the engine is over.
+func (b *boot) lost() bool { return b.ctx.Err() != nil }
+
+// monitorEvents are told of changes, one at a time.
+type monitorEvents struct {
+	// crashed is called before the context of the ended boot ends.
+	crashed func(old *boot)
+	booted  func(b *boot)
+	state   func(s EngineState)
+}
+
+// monitor follows the lives of the engine.
+type monitor struct {
+	client engine.Client
+	events monitorEvents
+
+	probing chan struct{} // holds a token while a probe runs
+	mu      sync.Mutex
+	state   EngineState
+	current *boot
+	crashes int
+}
+
+func newMonitor(c engine.Client, e monitorEvents) *monitor {
+	return &monitor{client: c, events: e, state: EngineUnknown, probing: make(chan struct{}, 1)}
+}
+
+// get returns the engine's current life, or nil when it is not up.
+func (m *monitor) get() (*boot, EngineState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state != EngineUp {
+		return nil, m.state
+	}
+	return m.current, m.state
+}
+
+// counts returns the state, the boot id and the crashes seen.
+func (m *monitor) counts() (EngineState, string, int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := ""
+	if m.current != nil {
+		id = m.current.info.BootID
+	}
+	return m.state, id, m.crashes
+}
+
+// run probes until ctx ends.
+func (m *monitor) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := downInterval
+		if m.probe(ctx) == EngineUp {
+			wait = probeInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// verify reports whether life b of the engine is over, asking the engine itself.
+// A broken connection alone is no crash.
+func (m *monitor) verify(ctx context.Context, b *boot) bool {
+	m.probing <- struct{}{}
+	defer func() { <-m.probing }()
+	if !b.lost() {
+		m.ask(ctx)
+	}
+	return b.lost()
+}
+
+// probe asks the engine for its boot id and acts on what changed.
+func (m *monitor) probe(ctx context.Context) EngineState {
+	m.probing <- struct{}{}
+	defer func() { <-m.probing }()
+	return m.ask(ctx)
+}
+
+func (m *monitor) ask(ctx context.Context) EngineState {
+	info, err := m.client.Info(ctx)
+	switch {
+	case ctx.Err() != nil:
+		_, s := m.get()
+		return s
+	case err == nil:
+		m.alive(info)
+		return m.set(EngineUp)
+	case errors.Is(err, engine.ErrUnreachable):
+		m.endBoot()
+		return m.set(EngineDown)
+	default:
+		return m.set(EngineSilent)
+	}
+}
+
+func (m *monitor) alive(info engine.Info) {
+	m.mu.Lock()
+	b := m.current
+	m.mu.Unlock()
+	if b != nil && b.info == info {
+		return
+	}
+	if b != nil && b.info.BootID != info.BootID {
+		m.endBoot()
+	}
+	if b == nil || b.lost() {
+		ctx, end := context.WithCancelCause(context.Background())
+		b = &boot{ctx: ctx, end: end}
+	} else {
+		b = &boot{ctx: b.ctx, end: b.end} // same life with another role or shape
+	}
+	b.info = info
+	m.mu.Lock()
+	m.current = b
+	m.mu.Unlock()
+	m.events.booted(b)
+}
+
+func (m *monitor) endBoot() {
+	m.mu.Lock()
+	b := m.current
+	m.current = nil
+	if b != nil {
+		m.crashes++
+	}
+	m.mu.Unlock()
+	if b != nil {
+		m.events.crashed(b)
+		b.end(errEngineLost)
+	}
+}
+
+func (m *monitor) set(s EngineState) EngineState {
+	m.mu.Lock()
+	changed := m.state != s
+	m.state = s
+	m.mu.Unlock()
+	if changed {
+		m.events.state(s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/sidecar/orders.go
@@ -0,0 +1,279 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/platform"
+)
+
+const (
+	fencePrefix = "fescueslip/fence/"
+	// orderLease is how long a holder may issue orders after it took the fence.
+	// A holder stops earlier by itself; the next one waits this long when the
+	// engine cannot tell their orders apart.
+	orderLease = 3 * time.Second
+	// leaseMargin allows for clocks that run at slightly different speeds.
+	leaseMargin = 300 * time.Millisecond
+	// fenceAttempts bounds how often a lost compare-and-swap is tried again.
+	fenceAttempts = 5
+	orderAttempts = 3
+)
+
+// ErrSuperseded reports that another holder has issued or may issue a newer order.
+var ErrSuperseded = errors.New("another process took over the orders of this engine; read the engine's current order before issuing a new one")
+
+// ErrFenceUnavailable reports that no fencing token could be obtained, so no
+// order was issued.
+var ErrFenceUnavailable = errors.New("no fencing token: the key-value service did not confirm the write; retry when it answers")
+
+// fenceRecord is the value of the fence key.
+type fenceRecord struct {
+	Token   uint64 `json:"token"`
+	Holder  string `json:"holder"`
+	LeaseMS int64  `json:"lease_ms"`
+}
+
+// OrdersOptions are the parts of Orders.
+type OrdersOptions struct {
+	KV       platform.KV
+	Engine   engine.Client
+	Upstream string
+	// Holder tells processes and their lives apart.
+	Holder string
+	// ChecksFencing tells whether the engine refuses orders with an old token.
+	ChecksFencing func() bool
+}
+
+// Orders is the aggregate that issues orders to one engine. Each order carries
+// a token from a compare-and-swap on one key, so tokens only grow. Engines that
+// check tokens refuse a paused former holder by themselves. For engines that do
+// not, the former holder's lease is waited out and the order in force is read
+// before and after the own order.
+type Orders struct {
+	o   OrdersOptions
+	key string
+
+	issuing chan struct{} // holds a token while an order is issued
+
+	mu     sync.Mutex
+	last   engine.Order
+	issued int
+}
+
+// NewOrders returns the aggregate for one upstream.
+func NewOrders(o OrdersOptions) *Orders {
+	return &Orders{o: o, key: fencePrefix + o.Upstream, issuing: make(chan struct{}, 1)}
+}
+
+func holderName(instance string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", instance, incarnation)
+}
+
+// fence is a token with the time until which it may be used.
+type fence struct {
+	token  uint64
+	until  time.Time
+	former fenceRecord
+	index  uint64
+}
+
+// Issue obtains a token and gives the order. The order's Fencing is set here.
+func (o *Orders) Issue(ctx context.Context, order engine.Order) error {
+	o.issuing <- struct{}{}
+	defer func() { <-o.issuing }()
+	f, err := o.take(ctx)
+	if err != nil {
+		return err
+	}
+	order.Fencing = f.token
+	if !o.o.ChecksFencing() {
+		if f, err = o.waitOut(ctx, f); err != nil {
+			return err
+		}
+		done, err := o.readBack(ctx, order)
+		if done {
+			o.record(order)
+		}
+		if done || err != nil {
+			return err
+		}
+	}
+	return o.give(ctx, order, f)
+}
+
+// take obtains the next token.
+func (o *Orders) take(ctx context.Context) (fence, error) {
+	for range fenceAttempts {
+		former, index, err := o.read(ctx)
+		if err != nil {
+			return fence{}, err
+		}
+		mine := fenceRecord{Token: former.Token + 1, Holder: o.o.Holder, LeaseMS: orderLease.Milliseconds()}
+		f, ok, err := o.write(ctx, mine, index)
+		if err != nil {
+			return fence{}, err
+		}
+		if ok {
+			f.former = former
+			return f, nil
+		}
+	}
+	return fence{}, errors.Wrap(ErrSuperseded, "take the fence")
+}
+
+func (o *Orders) read(ctx context.Context) (fenceRecord, uint64, error) {
+	e, err := o.o.KV.Get(ctx, o.key)
+	if err != nil {
+		return fenceRecord{}, 0, errors.Wrapf(ErrFenceUnavailable, "read (%v)", err)
+	}
+	var rec fenceRecord
+	if e.Index == 0 {
+		return rec, 0, nil
+	}
+	if err := json.Unmarshal(e.Value, &rec); err != nil {
+		return rec, 0, errors.Wrapf(err, "decode %s; delete the key when no order is under way", o.key)
+	}
+	return rec, e.Index, nil
+}
+
+// write puts a record in place. The lease counts from before the write, so that
+// it ends here before it ends for anybody who reads it. A write whose
+// acknowledgement was lost is read back.
+func (o *Orders) write(ctx context.Context, rec fenceRecord, index uint64) (fence, bool, error) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return fence{}, false, errors.Wrap(err, "encode the fence")
+	}
+	f := fence{token: rec.Token, until: time.Now().Add(orderLease - leaseMargin)}
+	ok, casErr := o.o.KV.CompareAndSwap(ctx, o.key, value, index)
+	if casErr == nil && !ok {
+		return f, false, nil
+	}
+	now, at, err := o.read(ctx)
+	if err != nil {
+		return f, false, err
+	}
+	f.index = at
+	if now == rec {
+		return f, true, nil
+	}
+	if casErr != nil {
+		return f, false, errors.Wrapf(ErrFenceUnavailable, "write (%v)", casErr)
+	}
+	return f, false, nil
+}
+
+// waitOut waits until the former holder's lease is over and renews the own one,
+// which also tells whether somebody else took over meanwhile. The former holder
+// cannot have renewed after the own write, because that write changed the key.
+func (o *Orders) waitOut(ctx context.Context, f fence) (fence, error) {
+	if f.former.Holder == "" || f.former.Holder == o.o.Holder {
+		return f, nil
+	}
+	wait := time.Duration(f.former.LeaseMS)*time.Millisecond + leaseMargin
+	select {
+	case <-ctx.Done():
+		return f, context.Cause(ctx)
+	case <-time.After(wait):
+	}
+	same := fenceRecord{Token: f.token, Holder: o.o.Holder, LeaseMS: orderLease.Milliseconds()}
+	renewed, ok, err := o.write(ctx, same, f.index)
+	if err != nil {
+		return f, err
+	}
+	if !ok {
+		return f, errors.Wrap(ErrSuperseded, "renew the fence")
+	}
+	return renewed, nil
+}
+
+// readBack looks at the order in force. It reports done when that is the order
+// itself, and ErrSuperseded when a newer one is in force.
+func (o *Orders) readBack(ctx context.Context, order engine.Order) (done bool, err error) {
+	current, ok, err := o.o.Engine.CurrentOrder(ctx)
+	switch {
+	case err != nil:
+		return false, errors.Wrap(err, "read the current order")
+	case !ok:
+		return false, nil
+	case current.Fencing > order.Fencing:
+		return false, errors.Wrapf(ErrSuperseded, "order %s with token %d is in force", current.ID, current.Fencing)
+	}
+	return current.ID == order.ID && current.Fencing == order.Fencing, nil
+}
+
+// give sends the order while the lease lasts, and looks whether it took effect:
+// an answer may be lost, and an order of a paused former holder may arrive late.
+func (o *Orders) give(ctx context.Context, order engine.Order, f fence) error {
+	lease, cancel := context.WithDeadlineCause(ctx, f.until, errors.Wrap(ErrSuperseded, "the lease on the fence ended"))
+	defer cancel()
+	var last error
+	for range orderAttempts {
+		if lease.Err() != nil {
+			return context.Cause(lease)
+		}
+		last = o.o.Engine.IssueOrder(lease, order)
+		if engine.IsCode(last, engine.CodeStaleFencing) {
+			return errors.Wrapf(ErrSuperseded, "token %d was refused", order.Fencing)
+		}
+		if engine.IsAPI(last) {
+			return errors.Wrapf(last, "order %s", order.ID)
+		}
+		done, err := o.readBack(lease, order)
+		if done {
+			o.record(order)
+			return nil
+		}
+		if errors.Is(err, ErrSuperseded) {
+			return err
+		}
+	}
+	if last == nil {
+		last = ErrSuperseded
+	}
+	return errors.Wrapf(last, "order %s did not take effect; issue it again", order.ID)
+}
+
+func (o *Orders) record(order engine.Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last = order
+	o.issued++
+}
+
+// Recheck issues the last order again when an older one replaced it, which a
+// paused former holder can cause at an engine that ignores tokens.
+func (o *Orders) Recheck(ctx context.Context) error {
+	o.mu.Lock()
+	last := o.last
+	o.mu.Unlock()
+	if last.ID == "" || o.o.ChecksFencing() {
+		return nil
+	}
+	current, ok, err := o.o.Engine.CurrentOrder(ctx)
+	if err != nil || !ok || current.Fencing >= last.Fencing {
+		return err
+	}
+	return o.Issue(ctx, last)
+}
+
+// OrderState is the orders' part of the state dump.
+type OrderState struct {
+	Issued  int    `json:"issued"`
+	Last    string `json:"last,omitempty"`
+	Fencing uint64 `json:"fencing"`
+}
+
+// State returns what was issued.
+func (o *Orders) State() OrderState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return OrderState{Issued: o.issued, Last: o.last.ID, Fencing: o.last.Fencing}
+}
--- /dev/null
+++ b/internal/sidecar/refusal.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// refusal tells why work was not taken; it did not run.
+type refusal struct {
+	kind       wire.RefusalKind
+	detail     string
+	retryAfter time.Duration
+}
+
+func leaving() *refusal {
+	return &refusal{kind: wire.RefusalKind_REFUSAL_LEAVING, detail: "the upstream is leaving; choose another"}
+}
+
+func engineDown() *refusal {
+	return &refusal{kind: wire.RefusalKind_REFUSAL_ENGINE_DOWN, detail: "the engine does not answer; choose another upstream"}
+}
+
+func tooLarge(detail string) *refusal {
+	return &refusal{kind: wire.RefusalKind_REFUSAL_TOO_LARGE, detail: detail}
+}
+
+func knownCrasher() *refusal {
+	return &refusal{
+		kind:   wire.RefusalKind_REFUSAL_SUSPECT,
+		detail: "the request was in flight when this engine crashed; send it marked as a suspect",
+	}
+}
+
+func overloaded(wait time.Duration) *refusal {
+	return &refusal{
+		kind:       wire.RefusalKind_REFUSAL_OVERLOADED,
+		detail:     "the predicted wait exceeds the queue limit; retry later or elsewhere",
+		retryAfter: wait,
+	}
+}
+
+func (r *refusal) message() *wire.Refused {
+	return &wire.Refused{Kind: r.kind, Detail: r.detail, RetryAfterMs: millis(r.retryAfter)}
+}
