--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,42 @@
+// Package cli holds the subcommands of the fescueslip binary.
+package cli
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/fescueslip/fescueslip/internal/cli/version"
+)
+
+// Main runs the subcommand that the arguments name and returns its exit code:
+// 0 success, 1 failure, 2 wrong usage or invalid settings.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	for _, c := range commands() {
+		subcommands.Register(c, "")
+	}
+	flag.Parse()
+	return int(subcommands.Execute(ctx))
+}
+
+func commands() []subcommands.Command {
+	env := OSEnv()
+	return []subcommands.Command{
+		Serve(env),
+		Check(env),
+		Ticket(env),
+		Demo(env),
+		&Dump{},
+		&Explain{},
+		&Fairness{},
+		&version.Command{},
+	}
+}
