--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/engine"
@@ -55,6 +56,24 @@
 	}
 }
 
+// ending runs an end once; everybody else who asks for it waits until it is
+// over. Waiting is on a channel, so that virtual time goes on in tests.
+type ending struct {
+	begun atomic.Bool
+	over  chan struct{}
+}
+
+func newEnding() *ending { return &ending{over: make(chan struct{})} }
+
+func (e *ending) run(f func()) {
+	if !e.begun.CompareAndSwap(false, true) {
+		<-e.over
+		return
+	}
+	defer close(e.over)
+	f()
+}
+
 // work tracks what the engine may hold for a claim, so that it is freed once
 // and only after the calls that could still take memory have returned.
 type work struct {
--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -22,7 +22,7 @@
 	s      *Sidecar
 	c      *decodeClaim
 	starts chan *wire.Start
-	once   once
+	ending *ending
 }
 
 func (s *Sidecar) serveDecode(w http.ResponseWriter, r *http.Request) {
@@ -35,7 +35,7 @@
 	if err != nil || first.GetReserve() == nil {
 		return
 	}
-	x := &decodeSession{session: ss, s: s, starts: make(chan *wire.Start, 1)}
+	x := &decodeSession{session: ss, s: s, ending: newEnding(), starts: make(chan *wire.Start, 1)}
 	c, ref := s.desk.admitDecode(first.GetReserve())
 	if ref != nil {
 		x.refused(ref)
@@ -85,7 +85,7 @@
 // release frees what the engine holds and gives the reservation back, once. The
 // calls to the engine have ended or end with the stream.
 func (x *decodeSession) release() {
-	x.once.Do(func() {
+	x.ending.run(func() {
 		x.c.work.end()
 		x.c.work.calls.Wait()
 		if !x.c.work.free(x.s.life, x.s.o.Engine) {
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -54,7 +54,7 @@
 	client engine.Client
 	events monitorEvents
 
-	probing sync.Mutex // held by one probe at a time
+	probing chan struct{} // holds a token while a probe runs
 	mu      sync.Mutex
 	state   EngineState
 	current *boot
@@ -62,7 +62,7 @@
 }
 
 func newMonitor(c engine.Client, e monitorEvents) *monitor {
-	return &monitor{client: c, events: e, state: EngineUnknown}
+	return &monitor{client: c, events: e, state: EngineUnknown, probing: make(chan struct{}, 1)}
 }
 
 // get returns the engine's current life, or nil when it is not up.
@@ -103,8 +103,8 @@
 // verify reports whether life b of the engine is over, asking the engine itself.
 // A broken connection alone is no crash.
 func (m *monitor) verify(ctx context.Context, b *boot) bool {
-	m.probing.Lock()
-	defer m.probing.Unlock()
+	m.probing <- struct{}{}
+	defer func() { <-m.probing }()
 	if !b.lost() {
 		m.ask(ctx)
 	}
@@ -113,8 +113,8 @@
 
 // probe asks the engine for its boot id and acts on what changed.
 func (m *monitor) probe(ctx context.Context) EngineState {
-	m.probing.Lock()
-	defer m.probing.Unlock()
+	m.probing <- struct{}{}
+	defer func() { <-m.probing }()
 	return m.ask(ctx)
 }
 
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -29,7 +29,7 @@
 	s      *Sidecar
 	c      *prefillClaim
 	prompt string
-	once   once
+	ending *ending
 }
 
 func (s *Sidecar) servePrefill(w http.ResponseWriter, r *http.Request) {
@@ -42,7 +42,7 @@
 	if err != nil || first.GetPrefill() == nil {
 		return
 	}
-	x := &prefillSession{session: ss, s: s, prompt: first.GetPrefill().GetPrompt()}
+	x := &prefillSession{session: ss, s: s, ending: newEnding(), prompt: first.GetPrefill().GetPrompt()}
 	c, ref := s.desk.admitPrefill(first.GetPrefill())
 	if ref != nil {
 		x.refused(ref)
@@ -73,7 +73,7 @@
 
 // release frees what the engine holds and gives the memory back, once.
 func (x *prefillSession) release() {
-	x.once.Do(func() {
+	x.ending.run(func() {
 		x.c.work.end()
 		x.c.work.calls.Wait()
 		if !x.c.work.free(x.s.life, x.s.o.Engine) {
