--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,10 @@
 }
 
 func commands() []subcommands.Command {
+	env := OSEnv()
 	return []subcommands.Command{
+		Check(env),
+		Ticket(env),
 		&Dump{},
 		&Explain{},
 		&Fairness{},
--- a/internal/config/accept_test.go
+++ b/internal/config/accept_test.go
@@ -50,3 +50,17 @@
 	}
 	return b.String()
 }
+
+// TestContentIgnoresOrder guards that a ticket built with its objects in another
+// order is the same ticket; it was refused as a reuse of the number.
+func TestContentIgnoresOrder(t *testing.T) {
+	a := Object{Ref: Ref{KindPool, "a"}, Ticket: 1, Spec: encodeSpec(&Pool{Role: RoleDecode})}
+	b := Object{Ref: Ref{KindPool, "b"}, Ticket: 1, Spec: encodeSpec(&Pool{Role: RoleDecode})}
+	decision, err := NewConfiguration(0, nil, nil).Accept(&Ticket{Number: 1, Objects: []Object{a, b}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := decision.Next.Accept(&Ticket{Number: 1, Objects: []Object{b, a}}); err != nil || !again.Already {
+		t.Fatalf("%+v, %v; want the ticket accepted as the same", again, err)
+	}
+}
--- a/internal/config/aggregate.go
+++ b/internal/config/aggregate.go
@@ -113,7 +113,9 @@
 }
 
 // usedBefore looks for an earlier ticket with the same number: first in the
-// recent records, and for older tickets in the objects that it set.
+// recent records, and for older tickets in the objects that it set. Of a ticket
+// whose record is gone only the objects still in force are known, so a ticket
+// that sets exactly these again counts as the same; it has no effect either way.
 func (c *Configuration) usedBefore(t *Ticket) (record Record, used bool, refusal *Refusal) {
 	if record, ok := c.records[t.Number]; ok {
 		if record.Content != t.Content() {
--- a/internal/config/ticket.go
+++ b/internal/config/ticket.go
@@ -52,7 +52,7 @@
 }
 
 // Ticket is a numbered change. It carries the complete new state of every object
-// it touches, sorted by kind and name.
+// it touches, in any order.
 type Ticket struct {
 	Number  uint64
 	Objects []Object
@@ -63,13 +63,17 @@
 func (t *Ticket) Content() string {
 	h := sha256.New()
 	enc := json.NewEncoder(h)
-	for _, o := range t.Objects {
+	for _, o := range sorted(t.Objects) {
 		// An Object holds valid JSON only, and a hash accepts every write.
 		_ = enc.Encode(o)
 	}
 	return base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:16])
 }
 
+func sorted(objects []Object) []Object {
+	return slices.SortedFunc(slices.Values(objects), func(a, b Object) int { return a.Compare(b.Ref) })
+}
+
 type ticketFile struct {
 	Ticket  uint64       `yaml:"ticket" validate:"min=1,max=9007199254740991"`
 	Objects []objectFile `yaml:"objects" validate:"min=1,dive"`
@@ -117,7 +121,7 @@
 	if err := doc.Err(source); err != nil {
 		return nil, err
 	}
-	slices.SortFunc(ticket.Objects, func(a, b Object) int { return a.Compare(b.Ref) })
+	ticket.Objects = sorted(ticket.Objects)
 	return ticket, nil
 }
 
--- a/internal/configstore/accept.go
+++ b/internal/configstore/accept.go
@@ -82,8 +82,10 @@
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval = firstAcceptBackoff
 	delay.MaxInterval = maxAcceptBackoff
+	var last error
 	_, err := backoff.Retry(ctx, func() (struct{}, error) {
 		err := a.try(ctx)
+		last = err
 		if err != nil && !retryable(err) {
 			err = backoff.Permanent(err)
 		}
@@ -96,7 +98,8 @@
 	case errors.As(err, &refusal):
 		return Result{}, refusal
 	default:
-		return Result{}, &StoreError{Ticket: t.Number, Unknown: a.ambiguous, Cause: err}
+		// The last try tells more than the deadline that ended the tries.
+		return Result{}, &StoreError{Ticket: t.Number, Unknown: a.ambiguous, Cause: last}
 	}
 }
 
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -6,14 +6,65 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore/kvmem"
 )
 
+// testKV is the stand-in service with a hook before each write.
+type testKV struct {
+	*kvstore.Store
+	platform.KV
+	beforeSwap func(key string)
+	mu         sync.Mutex
+	sizes      map[string]int
+}
+
+func newTestKV(t testing.TB) *testKV {
+	store := kvstore.NewStore(kvstore.Options{ReadsPerSecond: 1e9, WritesPerSecond: 1e9})
+	t.Cleanup(store.Close)
+	return &testKV{Store: store, KV: kvmem.New(store), sizes: make(map[string]int)}
+}
+
+func (k *testKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	return k.KV.Get(ctx, key)
+}
+
+func (k *testKV) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+	return k.KV.Watch(ctx, key, after)
+}
+
+func (k *testKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	if k.beforeSwap != nil {
+		k.beforeSwap(key)
+	}
+	done, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if done {
+		k.mu.Lock()
+		k.sizes[key] = len(value)
+		k.mu.Unlock()
+	}
+	return done, err
+}
+
+// atHead runs f before the first write of the head.
+func atHead(f func()) func(string) {
+	var once sync.Once
+	return func(key string) {
+		if key == HeadKey {
+			once.Do(f)
+		}
+	}
+}
+
 // callers returns a ticket that sets the callers from first to last.
 func callers(number uint64, first, last int) *config.Ticket {
 	t := &config.Ticket{Number: number}
@@ -44,7 +95,7 @@
 
 // TestAcceptAndLoad guards that another process reads exactly what was accepted.
 func TestAcceptAndLoad(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	empty, err := store.Load(t.Context())
 	if err != nil || empty.Index != 0 || empty.Head.Revision != 0 {
@@ -75,8 +126,8 @@
 // answer is reported as accepted, not as a refusal or a second revision.
 func TestLostAcknowledgement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
-		kv.loseAck = true
+		kv := newTestKV(t)
+		kv.beforeSwap = atHead(func() { kv.LoseAcks(1) })
 		if r := mustAccept(t, New(Options{KV: kv}), callers(1, 1, 1)); r.Revision != 1 || r.Already {
 			t.Fatalf("got %+v, want revision 1 accepted by this call", r)
 		}
@@ -87,22 +138,49 @@
 // accepted before the head was written, and unknown after that.
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
-		kv.down = true
+		kv := newTestKV(t)
+		kv.Down(0)
 		var storeErr *StoreError
 		_, err := New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
 		if !errors.As(err, &storeErr) || storeErr.Unknown {
 			t.Fatalf("outage before the write: %v", err)
 		}
-		kv.setDown(false)
+		kv.Up()
+		kv.beforeSwap = atHead(func() { kv.Down(0) })
+		_, err = New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
+		if !errors.As(err, &storeErr) || !storeErr.Unknown {
+			t.Fatalf("outage at the write: %v", err)
+		}
+	})
+}
+
+// TestLateWrite guards against a definite answer while a write is still under
+// way: reading back an unchanged head does not prove that it never takes effect.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newTestKV(t)
+		store := New(Options{KV: kv})
+		mustAccept(t, store, callers(1, 1, 1))
+		writes := 0
 		kv.beforeSwap = func(key string) {
-			if key == HeadKey {
-				kv.setDown(true)
+			switch {
+			case key == HeadKey:
+				kv.LateWrites(1, time.Minute)
+			case writes == 2:
+				kv.Down(0)
 			}
+			writes++
 		}
-		_, err = New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
+		var storeErr *StoreError
+		_, err := store.Accept(t.Context(), callers(2, 1, 1))
 		if !errors.As(err, &storeErr) || !storeErr.Unknown {
-			t.Fatalf("outage at the write: %v", err)
+			t.Fatalf("write under way: %v, want an unknown outcome", err)
+		}
+		time.Sleep(time.Minute)
+		kv.Up()
+		kv.beforeSwap = nil
+		if r := mustAccept(t, store, callers(2, 1, 1)); !r.Already || r.Revision != 2 {
+			t.Fatalf("applied again: %+v, want the late write's revision 2", r)
 		}
 	})
 }
@@ -111,7 +189,7 @@
 // head is outdated reads the newer one instead of failing on a blanked page.
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
+		kv := newTestKV(t)
 		writer, watcher := New(Options{KV: kv}), New(Options{KV: kv})
 		ctx, cancel := context.WithCancel(t.Context())
 		seen := make(chan uint64, 100)
@@ -158,7 +236,7 @@
 // TestGrowth guards that pages stay small and complete while the number of
 // callers grows to the target size, and that replaced pages are blanked.
 func TestGrowth(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	number := uint64(0)
 	for first := 1; first <= 18000; first += 3000 {
@@ -175,11 +253,11 @@
 		t.Fatalf("%d callers, %v", len(snapshot.Callers), err)
 	}
 	live := 0
-	for key, e := range kv.entries {
-		if len(e.Value) > MaxPageBytes {
-			t.Errorf("%s has %d bytes", key, len(e.Value))
+	for key, size := range kv.sizes {
+		if size > MaxPageBytes {
+			t.Errorf("%s has %d bytes", key, size)
 		}
-		if key != HeadKey && len(e.Value) > 0 {
+		if key != HeadKey && size > 0 {
 			live++
 		}
 	}
@@ -191,7 +269,7 @@
 
 // TestAssembleChecksPages guards that pages from peers cannot be mixed up.
 func TestAssembleChecksPages(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	mustAccept(t, store, callers(1, 1, 10))
 	state, err := store.Load(t.Context())
@@ -223,7 +301,7 @@
 }
 
 func BenchmarkAccept18000(b *testing.B) {
-	kv := newFakeKV()
+	kv := newTestKV(b)
 	store := New(Options{KV: kv})
 	if _, err := store.Accept(b.Context(), callers(1, 1, 18000)); err != nil {
 		b.Fatal(err)
@@ -243,7 +321,7 @@
 }
 
 func BenchmarkAssemble18000(b *testing.B) {
-	store := New(Options{KV: newFakeKV()})
+	store := New(Options{KV: newTestKV(b)})
 	if _, err := store.Accept(b.Context(), callers(1, 1, 18000)); err != nil {
 		b.Fatal(err)
 	}
