--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/fescueslip/fescueslip/internal/cli/version"
 )
 
 // Main runs the subcommand that the arguments name and returns its exit code:
@@ -28,11 +30,13 @@
 func commands() []subcommands.Command {
 	env := OSEnv()
 	return []subcommands.Command{
+		Serve(env),
 		Check(env),
 		Ticket(env),
+		Demo(env),
 		&Dump{},
 		&Explain{},
 		&Fairness{},
-		&Version{},
+		&version.Command{},
 	}
 }
