--- a/internal/config/aggregate.go
+++ b/internal/config/aggregate.go
@@ -1,11 +1,8 @@
 package config
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
-
-	"github.com/go-faster/errors"
 )
 
 // Record remembers an accepted ticket.
@@ -178,47 +175,3 @@
 	}
 	return next
 }
-
-// SnapshotOf builds the snapshot of stored objects.
-func SnapshotOf(revision uint64, objects []Object) (*Snapshot, error) {
-	content, err := decodeObjects(objects)
-	if err != nil {
-		return nil, err
-	}
-	return Build(revision, content), nil
-}
-
-func decodeObjects(objects []Object) (Objects, error) {
-	var content Objects
-	for _, o := range objects {
-		if o.Deleted {
-			continue
-		}
-		spec, known := newSpec(o.Kind, o.Name)
-		if !known {
-			return Objects{}, errors.Errorf("object %s has an unknown kind; upgrade this process", o.Ref)
-		}
-		if err := json.Unmarshal(o.Spec, spec); err != nil {
-			return Objects{}, errors.Wrapf(err, "decode %s", o.Ref)
-		}
-		content.add(spec)
-	}
-	return content, nil
-}
-
-func (o *Objects) add(spec any) {
-	switch s := spec.(type) {
-	case *Pool:
-		o.Pools = append(o.Pools, s)
-	case *Upstream:
-		o.Upstreams = append(o.Upstreams, s)
-	case *Model:
-		o.Models = append(o.Models, s)
-	case *Route:
-		o.Routes = append(o.Routes, s)
-	case *Caller:
-		o.Callers = append(o.Callers, s)
-	case *Policy:
-		o.Policy = s
-	}
-}
--- a/internal/config/references.go
+++ b/internal/config/references.go
@@ -15,7 +15,7 @@
 
 // checkReferences checks the whole state after ticket t was applied.
 func (c *Configuration) checkReferences(t *Ticket) *Refusal {
-	content, err := decodeObjects(c.Objects())
+	content, err := DecodeObjects(c.Objects())
 	if err != nil {
 		return &Refusal{Kind: RefusalReference, Ticket: t.Number, Object: t.Objects[0].Ref,
 			Message: err.Error(), Remedy: "use the version of fescueslip that wrote the stored configuration"}
--- a/internal/configstore/encoding.go
+++ b/internal/configstore/encoding.go
@@ -113,52 +113,6 @@
 	return missing
 }
 
-// Assemble builds the snapshot of head. It checks the hash of every page, so
-// pages may come from any peer.
-func Assemble(head *Head, pages map[string][]byte) (*config.Snapshot, error) {
-	var objects []config.Object
-	for bucket, hash := range head.Pages {
-		content, err := decodePage(head, bucket, hash, pages)
-		if err != nil {
-			return nil, err
-		}
-		objects = append(objects, content...)
-	}
-	return config.SnapshotOf(head.Revision, objects)
-}
-
-// PageError reports a page that is missing or damaged.
-type PageError struct {
-	Hash   string
-	Reason string
-}
-
-// Error implements error.
-func (e *PageError) Error() string {
-	return "configuration page " + e.Hash + " " + e.Reason + "; read the head again or fetch the page from a peer"
-}
-
-func decodePage(head *Head, bucket int, hash string, pages map[string][]byte) ([]config.Object, error) {
-	if hash == "" {
-		return nil, nil
-	}
-	content, ok := pages[hash]
-	if !ok {
-		return nil, &PageError{Hash: hash, Reason: "is missing"}
-	}
-	if PageHash(content) != hash {
-		return nil, &PageError{Hash: hash, Reason: "does not match its hash"}
-	}
-	var p page
-	if err := json.Unmarshal(content, &p); err != nil {
-		return nil, errors.Wrapf(err, "decode configuration page %s", hash)
-	}
-	if p.Buckets != len(head.Pages) || p.Bucket != bucket {
-		return nil, &PageError{Hash: hash, Reason: "belongs to another bucket"}
-	}
-	return p.Objects, nil
-}
-
 func bucketOf(ref config.Ref, buckets int) int {
 	return int(xxhash.Sum64String(ref.String()) % uint64(buckets))
 }
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -307,8 +308,14 @@
 		b.Fatal(err)
 	}
 	number := uint64(1)
+	// The head has its final size once it remembers maxRecords tickets.
+	for number < maxRecords {
+		number++
+		if _, err := store.Accept(b.Context(), callers(number, int(number), int(number))); err != nil {
+			b.Fatal(err)
+		}
+	}
 	written := 0
-	b.ResetTimer()
 	for b.Loop() {
 		number++
 		r, err := store.Accept(b.Context(), callers(number, int(number)%18000, int(number)%18000))
@@ -320,6 +327,46 @@
 	b.ReportMetric(float64(written)/float64(b.N), "bytes-written/op")
 }
 
+// TestAssemblerReuse guards that a reused assembler gives what a fresh one gives.
+func TestAssemblerReuse(t *testing.T) {
+	store := New(Options{KV: newTestKV(t)})
+	assembler := NewAssembler()
+	for n := uint64(1); n <= 30; n++ {
+		mustAccept(t, store, callers(n, int(n), int(n)+200))
+		state, err := store.Load(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, err := state.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := assembler.Assemble(state.Head, state.Pages); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("revision %d: snapshots differ: %v", n, err)
+		}
+	}
+}
+
+func BenchmarkAssembleNext18000(b *testing.B) {
+	store := New(Options{KV: newTestKV(b)})
+	assembler := NewAssembler()
+	var states [2]*State
+	for i, ticket := range []*config.Ticket{callers(1, 1, 18000), callers(2, 7, 7)} {
+		if _, err := store.Accept(b.Context(), ticket); err != nil {
+			b.Fatal(err)
+		}
+		var err error
+		if states[i], err = store.Load(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		if _, err := assembler.Assemble(states[i%2].Head, states[i%2].Pages); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkAssemble18000(b *testing.B) {
 	store := New(Options{KV: newTestKV(b)})
 	if _, err := store.Accept(b.Context(), callers(1, 1, 18000)); err != nil {
