--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -6,14 +6,67 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore/kvmem"
 )
 
+// testKV is the stand-in service with a hook before each write.
+type testKV struct {
+	*kvstore.Store
+	platform.KV
+	beforeSwap func(key string)
+	mu         sync.Mutex
+	sizes      map[string]int
+}
+
+func newTestKV(t testing.TB) *testKV {
+	store := kvstore.NewStore(kvstore.Options{ReadsPerSecond: 1e9, WritesPerSecond: 1e9})
+	t.Cleanup(store.Close)
+	return &testKV{Store: store, KV: kvmem.New(store), sizes: make(map[string]int)}
+}
+
+func (k *testKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	return k.KV.Get(ctx, key)
+}
+
+func (k *testKV) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+	return k.KV.Watch(ctx, key, after)
+}
+
+func (k *testKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	if k.beforeSwap != nil {
+		k.beforeSwap(key)
+	}
+	done, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if done {
+		k.mu.Lock()
+		k.sizes[key] = len(value)
+		k.mu.Unlock()
+	}
+	return done, err
+}
+
+// atHead runs f before the first write of the head.
+func atHead(f func()) func(string) {
+	var once sync.Once
+	return func(key string) {
+		if key == HeadKey {
+			once.Do(f)
+		}
+	}
+}
+
 // callers returns a ticket that sets the callers from first to last.
 func callers(number uint64, first, last int) *config.Ticket {
 	t := &config.Ticket{Number: number}
@@ -44,7 +97,7 @@
 
 // TestAcceptAndLoad guards that another process reads exactly what was accepted.
 func TestAcceptAndLoad(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	empty, err := store.Load(t.Context())
 	if err != nil || empty.Index != 0 || empty.Head.Revision != 0 {
@@ -75,8 +128,8 @@
 // answer is reported as accepted, not as a refusal or a second revision.
 func TestLostAcknowledgement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
-		kv.loseAck = true
+		kv := newTestKV(t)
+		kv.beforeSwap = atHead(func() { kv.LoseAcks(1) })
 		if r := mustAccept(t, New(Options{KV: kv}), callers(1, 1, 1)); r.Revision != 1 || r.Already {
 			t.Fatalf("got %+v, want revision 1 accepted by this call", r)
 		}
@@ -87,22 +140,48 @@
 // accepted before the head was written, and unknown after that.
 func TestOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
-		kv.down = true
+		kv := newTestKV(t)
+		kv.Down(0)
 		var storeErr *StoreError
 		_, err := New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
 		if !errors.As(err, &storeErr) || storeErr.Unknown {
 			t.Fatalf("outage before the write: %v", err)
 		}
-		kv.setDown(false)
+		kv.Up()
+		kv.beforeSwap = atHead(func() { kv.Down(0) })
+		_, err = New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
+		if !errors.As(err, &storeErr) || !storeErr.Unknown {
+			t.Fatalf("outage at the write: %v", err)
+		}
+	})
+}
+
+// TestLateWrite guards against a definite answer while a write is still under
+// way: reading back an unchanged head does not prove that it never takes effect.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := newTestKV(t)
+		store := New(Options{KV: kv})
+		mustAccept(t, store, callers(1, 1, 1))
+		var headWritten atomic.Bool
 		kv.beforeSwap = func(key string) {
 			if key == HeadKey {
-				kv.setDown(true)
+				kv.LateWrites(1, time.Minute)
+				headWritten.Store(true)
+			} else if headWritten.Load() {
+				kv.Down(0)
 			}
 		}
-		_, err = New(Options{KV: kv}).Accept(t.Context(), callers(1, 1, 1))
+		var storeErr *StoreError
+		_, err := store.Accept(t.Context(), callers(2, 1, 1))
 		if !errors.As(err, &storeErr) || !storeErr.Unknown {
-			t.Fatalf("outage at the write: %v", err)
+			t.Fatalf("write under way: %v, want an unknown outcome", err)
+		}
+		time.Sleep(time.Minute)
+		kv.Up()
+		kv.beforeSwap = nil
+		if r := mustAccept(t, store, callers(2, 1, 1)); !r.Already || r.Revision != 2 {
+			t.Fatalf("applied again: %+v, want the late write's revision 2", r)
 		}
 	})
 }
@@ -111,7 +190,7 @@
 // head is outdated reads the newer one instead of failing on a blanked page.
 func TestWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		kv := newFakeKV()
+		kv := newTestKV(t)
 		writer, watcher := New(Options{KV: kv}), New(Options{KV: kv})
 		ctx, cancel := context.WithCancel(t.Context())
 		seen := make(chan uint64, 100)
@@ -148,7 +227,7 @@
 		}
 		mustAccept(t, writer, callers(6, 1, 1))
 		mustAccept(t, writer, callers(7, 1, 1))
-		state, err := New(Options{KV: kv}).complete(t.Context(), old)
+		state, err := New(Options{KV: kv}).complete(t.Context(), old, objectPages)
 		if err != nil || state.Head.Revision != 7 {
 			t.Fatalf("outdated head: %+v, %v", state, err)
 		}
@@ -158,7 +237,7 @@
 // TestGrowth guards that pages stay small and complete while the number of
 // callers grows to the target size, and that replaced pages are blanked.
 func TestGrowth(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	number := uint64(0)
 	for first := 1; first <= 18000; first += 3000 {
@@ -175,23 +254,23 @@
 		t.Fatalf("%d callers, %v", len(snapshot.Callers), err)
 	}
 	live := 0
-	for key, e := range kv.entries {
-		if len(e.Value) > MaxPageBytes {
-			t.Errorf("%s has %d bytes", key, len(e.Value))
+	for key, size := range kv.sizes {
+		if size > MaxPageBytes {
+			t.Errorf("%s has %d bytes", key, size)
 		}
-		if key != HeadKey && len(e.Value) > 0 {
+		if key != HeadKey && size > 0 {
 			live++
 		}
 	}
 	// The pages replaced by the last ticket are still there for slow readers.
-	if want := len(state.Head.Pages) + len(state.Head.Replaced); live != want {
+	if want := len(state.Head.pageHashes()) + len(state.Head.Replaced); live != want {
 		t.Errorf("%d pages with content, want %d", live, want)
 	}
 }
 
 // TestAssembleChecksPages guards that pages from peers cannot be mixed up.
 func TestAssembleChecksPages(t *testing.T) {
-	kv := newFakeKV()
+	kv := newTestKV(t)
 	store := New(Options{KV: kv})
 	mustAccept(t, store, callers(1, 1, 10))
 	state, err := store.Load(t.Context())
@@ -223,14 +302,20 @@
 }
 
 func BenchmarkAccept18000(b *testing.B) {
-	kv := newFakeKV()
+	kv := newTestKV(b)
 	store := New(Options{KV: kv})
 	if _, err := store.Accept(b.Context(), callers(1, 1, 18000)); err != nil {
 		b.Fatal(err)
 	}
 	number := uint64(1)
+	// The page of recent tickets is full after maxRecords tickets.
+	for number < maxRecords {
+		number++
+		if _, err := store.Accept(b.Context(), callers(number, int(number), int(number))); err != nil {
+			b.Fatal(err)
+		}
+	}
 	written := 0
-	b.ResetTimer()
 	for b.Loop() {
 		number++
 		r, err := store.Accept(b.Context(), callers(number, int(number)%18000, int(number)%18000))
@@ -242,8 +327,48 @@
 	b.ReportMetric(float64(written)/float64(b.N), "bytes-written/op")
 }
 
+// TestAssemblerReuse guards that a reused assembler gives what a fresh one gives.
+func TestAssemblerReuse(t *testing.T) {
+	store := New(Options{KV: newTestKV(t)})
+	assembler := NewAssembler()
+	for n := uint64(1); n <= 30; n++ {
+		mustAccept(t, store, callers(n, int(n), int(n)+200))
+		state, err := store.Load(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, err := state.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := assembler.Assemble(state.Head, state.Pages); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("revision %d: snapshots differ: %v", n, err)
+		}
+	}
+}
+
+func BenchmarkAssembleNext18000(b *testing.B) {
+	store := New(Options{KV: newTestKV(b)})
+	assembler := NewAssembler()
+	var states [2]*State
+	for i, ticket := range []*config.Ticket{callers(1, 1, 18000), callers(2, 7, 7)} {
+		if _, err := store.Accept(b.Context(), ticket); err != nil {
+			b.Fatal(err)
+		}
+		var err error
+		if states[i], err = store.Load(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := 0; b.Loop(); i++ {
+		if _, err := assembler.Assemble(states[i%2].Head, states[i%2].Pages); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkAssemble18000(b *testing.B) {
-	store := New(Options{KV: newFakeKV()})
+	store := New(Options{KV: newTestKV(b)})
 	if _, err := store.Accept(b.Context(), callers(1, 1, 18000)); err != nil {
 		b.Fatal(err)
 	}
@@ -251,7 +376,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.ReportMetric(float64(state.pageBytes()), "page-bytes")
+	b.ReportMetric(float64(state.objectBytes()), "page-bytes")
 	for b.Loop() {
 		if _, err := state.Snapshot(); err != nil {
 			b.Fatal(err)
