--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -73,7 +73,7 @@
 }
 
 // StallTransfer stops the transfers over the engine's link, in both
-// directions, for d, or until StallTransfer is called again when d is 0.
+// directions, for d, or until EndStall when d is 0.
 func (e *Engine) StallTransfer(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -101,6 +101,13 @@
 	e.stallTimer = t
 }
 
+// EndStall lets the transfers go on.
+func (e *Engine) EndStall() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endStallLocked()
+}
+
 func (e *Engine) endStallLocked() {
 	if e.stallTimer != nil {
 		e.stallTimer.Stop()
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -87,6 +87,9 @@
 		go b.load("d", "r/4", out.Handle, 4000)
 		time.Sleep(2 * params.Hold)
 		b.expectHeld(b.p, 0)
+		b.p.EndStall()
+		time.Sleep(time.Second)
+		b.expectHeld(b.d, 4000)
 	})
 }
 
--- a/internal/standin/kvstore/http.go
+++ b/internal/standin/kvstore/http.go
@@ -58,8 +58,10 @@
 		},
 		"slow":     func(d time.Duration) error { s.Slow(SlowDelay, d); return nil },
 		"lost_ack": func(d time.Duration) error { s.LoseAllAcks(d); return nil },
-		"pause":    func(d time.Duration) error { s.http.Pause(d); return nil },
-		"silence":  func(d time.Duration) error { s.http.Silence(d, false); return nil },
+		// One write takes effect only when the fault ends; its answer is lost.
+		"late_write": func(d time.Duration) error { s.LateWrites(1, d); return nil },
+		"pause":      func(d time.Duration) error { s.http.Pause(d); return nil },
+		"silence":    func(d time.Duration) error { s.http.Silence(d, false); return nil },
 	}
 }
 
