Add the ledger of keyed non-repeatable calls

Intents are committed by compare-and-swap before a call is submitted. Settled intents move to immutable segments, so that a head stays small whatever the number of keys.

The outage test found refused calls that were later recorded as unknown: an earlier write with their intent was still on its way. Giving up such a call now always moves the index of the head, after which that write cannot win.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,6 +50,7 @@
 	KindKeyRunning       Kind = "idempotency_key_running"
 	KindOutcomeUnknown   Kind = "outcome_unknown"
 	KindKeyNotFound      Kind = "idempotency_key_not_found"
+	KindAnswerNotKept    Kind = "answer_not_kept"
 	KindLedgerFull       Kind = "ledger_full"
 	KindStoreUnavailable Kind = "store_unavailable"
 	KindInternal         Kind = "internal_error"
@@ -76,6 +77,7 @@
 	KindKeyRunning:       http.StatusConflict,
 	KindOutcomeUnknown:   http.StatusConflict,
 	KindKeyNotFound:      http.StatusNotFound,
+	KindAnswerNotKept:    http.StatusConflict,
 	KindLedgerFull:       http.StatusServiceUnavailable,
 	KindStoreUnavailable: http.StatusServiceUnavailable,
 	KindInternal:         http.StatusInternalServerError,
--- /dev/null
+++ b/internal/ledger/fleet_test.go
@@ -0,0 +1,255 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/peer"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const (
+	kvLatency   = 3 * time.Millisecond
+	testHop     = 1500 * time.Microsecond
+	testRunTime = 10 * time.Second
+)
+
+// fakeKV is a linearisable key-value service with faults.
+type fakeKV struct {
+	mu            sync.Mutex
+	entries       map[string]platform.Entry
+	index         uint64
+	down          bool
+	writes, reads int
+	// Probabilities of a lost acknowledgement, of a write that takes effect
+	// seconds after it failed, and of a write that is sent twice.
+	lost, delayed, doubled float64
+}
+
+func (k *fakeKV) isDown() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.down
+}
+
+func (k *fakeKV) setDown(down bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.down = down
+}
+
+func (k *fakeKV) setFaults(lost, delayed, doubled float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lost, k.delayed, k.doubled = lost, delayed, doubled
+}
+
+func (k *fakeKV) faults() (lost, delayed, doubled float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lost, k.lost + k.delayed, k.lost + k.delayed + k.doubled
+}
+
+func (k *fakeKV) calls() (writes, reads int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.writes, k.reads
+}
+
+func (k *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
+	time.Sleep(kvLatency / 2)
+	defer time.Sleep(kvLatency / 2)
+	if k.isDown() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads++
+	return k.entries[key], nil
+}
+
+func (k *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, index uint64) (bool, error) {
+	time.Sleep(kvLatency / 2)
+	defer time.Sleep(kvLatency / 2)
+	if len(value) > platform.MaxValueBytes {
+		panic("value over the limit of the service")
+	}
+	if k.isDown() {
+		return false, platform.ErrUnavailable
+	}
+	later := func() { time.Sleep(rand.N(4 * time.Second)); k.swap(key, value, index) }
+	lost, delayed, doubled := k.faults()
+	dice := rand.Float64()
+	switch {
+	case dice < lost:
+		k.swap(key, value, index)
+		return false, platform.ErrUnavailable
+	case dice < delayed:
+		go later()
+		return false, platform.ErrUnavailable
+	case dice < doubled:
+		go later()
+	}
+	return k.swap(key, value, index), nil
+}
+
+func (k *fakeKV) swap(key string, value []byte, index uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writes++
+	if k.entries[key].Index != index {
+		return false
+	}
+	k.index++
+	k.entries[key] = platform.Entry{Key: key, Value: value, Index: k.index}
+	return true
+}
+
+func (k *fakeKV) Watch(ctx context.Context, key string, _ uint64) (platform.Entry, error) {
+	return k.Get(ctx, key)
+}
+
+// nodeKV is one process's access to the service, which a crash cuts off.
+type nodeKV struct {
+	*fakeKV
+	dead atomic.Bool
+}
+
+func (k *nodeKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if k.dead.Load() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return k.fakeKV.Get(ctx, key)
+}
+
+func (k *nodeKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	if k.dead.Load() {
+		return false, platform.ErrUnavailable
+	}
+	return k.fakeKV.CompareAndSwap(ctx, key, value, index)
+}
+
+// fleet is several entries with ledgers on one key-value service.
+type fleet struct {
+	t     *testing.T
+	kv    *fakeKV
+	net   *memnet.Network
+	mu    sync.Mutex
+	nodes []*node
+}
+
+// node is one entry.
+type node struct {
+	*Ledger
+	name string
+	stop func()
+	kv   *nodeKV
+}
+
+// crash ends a process without letting it write anything more.
+func (n *node) crash() {
+	n.kv.dead.Store(true)
+	n.stop()
+}
+
+// Members, Upstream and Report implement membership.View.
+func (f *fleet) Members() []membership.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []membership.Member
+	for _, n := range f.nodes {
+		list = append(list, membership.Member{Name: n.name, Role: roleEntry, PeerAddress: n.name + ":1", State: membership.Serving})
+	}
+	return list
+}
+func (f *fleet) Upstream(string) (membership.Member, bool) { return membership.Member{}, false }
+func (f *fleet) Report(string, uint64, membership.State)   {}
+
+// slowHop adds the network's delay to calls between entries.
+type slowHop struct{ http.RoundTripper }
+
+func (s slowHop) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(testHop)
+	defer time.Sleep(testHop)
+	return s.RoundTripper.RoundTrip(r)
+}
+
+// peerServer serves CommitIntent only.
+type peerServer struct {
+	peer.Peer
+	ledger *Ledger
+}
+
+func (p peerServer) CommitIntent(ctx context.Context, r *peer.CommitIntentRequest) (*peer.CommitIntentResponse, error) {
+	return p.ledger.CommitIntent(ctx, r)
+}
+
+func inFleet(t *testing.T, entries int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: memnet.New(0), kv: &fakeKV{entries: map[string]platform.Entry{}}}
+		for n := range entries {
+			f.start(fmt.Sprintf("entry-%d", n))
+		}
+		defer func() {
+			for _, n := range f.nodes {
+				n.stop()
+			}
+			time.Sleep(time.Minute)
+		}()
+		test(t, f)
+	})
+}
+
+// start adds an entry, or replaces the one of that name by a fresh process.
+func (f *fleet) start(name string) *node {
+	hc := wire.NewClient(f.net.Dial)
+	transport := hc.Transport.(*http.Transport)
+	hc.Transport = slowHop{transport}
+	kv := &nodeKV{fakeKV: f.kv}
+	l := New(Options{KV: kv, Members: f, Self: name, Client: hc, Secret: "s"})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.net.Restore(name + ":1")
+	lis, err := f.net.Listen(name + ":1")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	srv := wire.NewServer(wire.RequireSecret("s", peer.NewPeerServer(peerServer{ledger: l})))
+	go func() { _ = srv.Serve(lis) }()
+	go func() { _ = l.Run(ctx) }()
+	n := &node{Ledger: l, kv: kv, name: name, stop: func() { _ = srv.Close(); cancel(); transport.CloseIdleConnections() }}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, old := range f.nodes {
+		if old.name == name {
+			f.nodes[i] = n
+			return n
+		}
+	}
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func (f *fleet) entry(n int) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[n%len(f.nodes)]
+}
+
+func call(key string) Call {
+	return Call{Caller: "c", Key: key, Digest: NewDigest([]byte("body")), Limit: testRunTime}
+}
+
+func kept(body string) Answer {
+	return Answer{Status: 201, ContentType: "text/plain", Body: []byte(body), Held: true}
+}
--- /dev/null
+++ b/internal/ledger/intent.go
@@ -0,0 +1,195 @@
+// Package ledger keeps the intents of keyed non-repeatable calls, so that each
+// runs at most once and its caller can learn afterwards what became of it.
+//
+// An intent is committed to the key-value service by compare-and-swap before
+// the upstream sees the call, and settled after the upstream answered. Keys are
+// hashed to a few shards. A shard is one bounded value, its head, and a list of
+// immutable segments to which settled intents are moved when the head grows.
+// One entry is the preferred writer of a shard and writes many intents at once;
+// safety rests on the compare-and-swap alone, so any entry may write.
+package ledger
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"time"
+)
+
+// Retention is how long a key is kept.
+const Retention = 24 * time.Hour
+
+// State is the state of an intent.
+type State uint8
+
+// The states of an intent.
+const (
+	// Committed means that the work may be running.
+	Committed State = iota + 1
+	// Done means that the upstream answered.
+	Done
+	// Unknown means that the call was sent and nobody knows whether it ran.
+	Unknown
+	// NotRun means that the upstream certainly never saw the call.
+	NotRun
+)
+
+// String returns the name of the state as callers see it.
+func (s State) String() string {
+	switch s {
+	case Committed:
+		return "running"
+	case Done:
+		return "done"
+	case Unknown:
+		return "unknown"
+	case NotRun:
+		return "not-run"
+	default:
+		return "unspecified"
+	}
+}
+
+// KeyHash identifies a caller's key without revealing it.
+type KeyHash [16]byte
+
+// HashKey hashes a key of a caller. Two callers' equal keys differ.
+func HashKey(caller, key string) KeyHash {
+	sum := sha256.Sum256([]byte(caller + "\x00" + key))
+	return KeyHash(sum[:16])
+}
+
+// Digest identifies the request that a key stands for.
+type Digest [16]byte
+
+// Attempt identifies one try to run the work of a key. It makes repeated writes
+// of the same operation harmless.
+type Attempt [12]byte
+
+func newAttempt() Attempt {
+	var a Attempt
+	_, _ = rand.Read(a[:]) // crypto/rand.Read never fails
+	return a
+}
+
+// Answer is what an upstream answered.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Held is false when the body was too large to keep.
+	Held bool
+}
+
+// Intent is the aggregate: one piece of non-repeatable work of one caller.
+type Intent struct {
+	Key     KeyHash
+	Digest  Digest
+	Attempt Attempt
+	State   State
+	// At is the shard's clock at the commit.
+	At Clock
+	// Limit is how long the work may run; later, Committed reads as Unknown,
+	// because the entry that committed it must be dead.
+	Limit  time.Duration
+	Answer Answer
+}
+
+// Clock is the age of a shard in milliseconds. It advances only by time that a
+// writer measured with its monotonic clock, so it may fall behind the real time
+// and never runs ahead of it: a clock step cannot expire a key early.
+type Clock uint64
+
+func (c Clock) plus(d time.Duration) Clock { return c + Clock(max(0, d.Milliseconds())) }
+
+// since returns the time from then to c.
+func (c Clock) since(then Clock) time.Duration {
+	if c < then {
+		return 0
+	}
+	return time.Duration(c-then) * time.Millisecond
+}
+
+// StateAt returns the state as of now. An entry that died leaves its intent
+// Committed; whether the work ran is then unknown, and never not-run.
+func (i Intent) StateAt(now Clock) State {
+	if i.State == Committed && now.since(i.At) > i.Limit {
+		return Unknown
+	}
+	return i.State
+}
+
+func (i Intent) expired(now Clock) bool { return now.since(i.At) >= Retention }
+
+// Verdict is the result of an operation on an intent.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Accepted means that the operation is in force.
+	Accepted Verdict = iota + 1
+	// Replay means that the work is done and its answer may be given again.
+	Replay
+	// Running means that another attempt may be running.
+	Running
+	// Lost means that the outcome of an earlier attempt is unknown.
+	Lost
+	// Reused means that the key stands for another request.
+	Reused
+	// Stale means that the operation's own attempt is no longer in force.
+	Stale
+	// Full means that the shard has no room.
+	Full
+	// Down means that the key-value service is down and nothing was written.
+	Down
+	// Undetermined means that the operation may or may not be in force.
+	Undetermined
+)
+
+// commit decides whether the wanted intent may take the place of prior, which
+// is nil when the key is free or has expired.
+func commit(prior *Intent, want Intent, now Clock) Verdict {
+	if prior == nil {
+		return Accepted
+	}
+	if prior.Digest != want.Digest {
+		return Reused
+	}
+	own := prior.Attempt == want.Attempt
+	switch prior.StateAt(now) {
+	case NotRun:
+		if own {
+			// Given up before this write of its commit took effect.
+			return Stale
+		}
+		return Accepted
+	case Done:
+		return Replay
+	case Committed:
+		if own {
+			return Accepted
+		}
+		return Running
+	default:
+		return Lost
+	}
+}
+
+// settle decides whether the attempt of want may record how its work ended. A
+// key that is free or not run may be settled as NotRun by any attempt: the
+// write stops a commit of that attempt which is still on its way, and which
+// would otherwise be read as unknown although its call was refused.
+func settle(prior *Intent, want Intent) Verdict {
+	if prior == nil {
+		if want.State == NotRun {
+			return Accepted
+		}
+		return Stale
+	}
+	if prior.State == NotRun && want.State == NotRun && prior.Attempt != want.Attempt {
+		return Accepted
+	}
+	if prior.Attempt != want.Attempt || prior.State != Committed {
+		return Stale
+	}
+	return Accepted
+}
--- /dev/null
+++ b/internal/ledger/store.go
@@ -0,0 +1,38 @@
+package ledger
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/platform"
+)
+
+// storeTimeout bounds one call of the key-value service, which answers in
+// milliseconds when it works.
+const storeTimeout = time.Second
+
+// store names and reads the values of one shard in the key-value service.
+type store struct {
+	kv    platform.KV
+	shard int
+}
+
+func (s store) headKey() string { return fmt.Sprintf("fescueslip/ledger/%d/head", s.shard) }
+
+func (s store) segmentKey(id segmentID) string {
+	return fmt.Sprintf("fescueslip/ledger/%d/%s", s.shard, hex.EncodeToString(id[:]))
+}
+
+func (s store) get(ctx context.Context, key string) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return s.kv.Get(ctx, key)
+}
+
+func (s store) swap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return s.kv.CompareAndSwap(ctx, key, value, index)
+}
--- a/internal/plain/router.go
+++ b/internal/plain/router.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/ledger"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
@@ -22,6 +23,8 @@
 	Client *http.Client
 	// Secret is the shared peer secret.
 	Secret string
+	// Ledger keeps keyed calls; without one they are refused.
+	Ledger *ledger.Ledger
 	// Instance and FailureDomain are those of this process.
 	Instance      string
 	FailureDomain string
@@ -37,6 +40,7 @@
 	config    config.Source
 	transport http.RoundTripper
 	secret    string
+	ledger    *ledger.Ledger
 	instance  string
 	events    *telemetry.FlightLog
 	logger    *log.Logger
@@ -57,6 +61,7 @@
 		// which belong to the caller.
 		transport: o.Client.Transport,
 		secret:    o.Secret,
+		ledger:    o.Ledger,
 		instance:  o.Instance,
 		events:    o.Events,
 		logger:    o.Logger,
@@ -94,15 +99,23 @@
 
 // serve answers the call or returns the fault to answer with.
 func (p *Router) serve(w http.ResponseWriter, c *call) *fault.Error {
-	body, f := takeBody(w, c.request, p.maxBody, false)
+	key := ""
+	if !c.route.Repeatable {
+		key = c.request.Header.Get(HeaderIdempotencyKey)
+	}
+	body, f := takeBody(w, c.request, p.maxBody, key != "")
 	if f != nil {
 		return f
 	}
 	c.body = body
-	if c.route.Repeatable {
+	switch {
+	case c.route.Repeatable:
 		return p.serveRepeatable(w, c)
+	case key != "":
+		return p.serveKeyed(w, c, key)
+	default:
+		return p.serveOnce(w, c)
 	}
-	return p.serveOnce(w, c)
 }
 
 func (p *Router) serveRepeatable(w http.ResponseWriter, c *call) *fault.Error {
