--- /dev/null
+++ b/internal/standin/server/conn.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+var discardLog = log.New(io.Discard, "", 0)
+
+// conn is a server-side connection that can pause, go silent or be reset.
+type conn struct {
+	net.Conn
+	server *Server
+	boot   context.Context
+	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read implements net.Conn. On a silent connection what arrives is lost, the
+// end of the stream included: the server must not learn that the peer left.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if !c.gate() {
+			return 0, net.ErrClosed
+		}
+		if !c.silent.Load() {
+			return n, err
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, err
+		}
+		if err != nil {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if !c.gate() {
+		return 0, net.ErrClosed
+	}
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// gate waits while the server is paused; it returns false once the connection is closed.
+func (c *conn) gate() bool {
+	for {
+		c.server.mu.Lock()
+		p := c.server.paused
+		c.server.mu.Unlock()
+		if p == nil {
+			return true
+		}
+		select {
+		case <-p.ended:
+		case <-c.closed:
+			return false
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	delete(c.server.conns, c)
+	c.closeLocked(false)
+	return nil
+}
+
+// closeLocked ends the server's use of the connection; reset does it as the
+// death of the process does. The peer of a silent connection is not told: its
+// connection stays open until the server is closed.
+func (c *conn) closeLocked(reset bool) {
+	c.once.Do(func() {
+		close(c.closed)
+		if c.silent.Load() {
+			// Ends the reads and writes in progress.
+			_ = c.SetDeadline(time.Unix(1, 0))
+			c.server.abandoned = append(c.server.abandoned, c.Conn)
+			return
+		}
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	})
+}
