Test keyed calls at each failure; document plain services

The shards now have different preferred writers, because one process's budget of 100 writes/s does not carry both at their peak.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -146,6 +146,8 @@
 	net   *memnet.Network
 	mu    sync.Mutex
 	nodes []*node
+	// isolated makes the entries unknown to each other.
+	isolated bool
 }
 
 // node is one entry.
@@ -167,6 +169,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []membership.Member
+	if f.isolated {
+		return nil
+	}
 	for _, n := range f.nodes {
 		list = append(list, membership.Member{Name: n.name, Role: roleEntry, PeerAddress: n.name + ":1", State: membership.Serving})
 	}
--- a/internal/ledger/intent_test.go
+++ b/internal/ledger/intent_test.go
@@ -106,6 +106,26 @@
 	}
 }
 
+// Guards against a key that is dropped from the head although it changed
+// after its segment was written.
+func TestSegmentOfChangedHeadIsAbandoned(t *testing.T) {
+	h := newHead()
+	for n := 0; h.bytes <= softHeadBytes; n++ {
+		h.put(Intent{Key: HashKey("c", fmt.Sprint(n)), Attempt: Attempt{1}, State: NotRun})
+	}
+	sp := h.planSpill()
+	again := Intent{Key: HashKey("c", "0"), Attempt: Attempt{2}}
+	changed, missing := h.clone(), h.clone()
+	changed.apply(operation{intent: again}, nil)
+	missing.remove(again.Key)
+	if sp == nil || changed.complete(sp) || missing.complete(sp) || !h.complete(sp) {
+		t.Fatal("wrong decision on a written segment")
+	}
+	if len(changed.intents) < len(sp.intents) || len(h.segments) != 1 || len(h.intents) != 0 {
+		t.Fatal("intents were dropped or kept wrongly")
+	}
+}
+
 func reload(t *rapid.T, h *head) *head {
 	next, err := decodeHead(h.encode())
 	if err != nil || next.bytes != h.bytes || len(next.intents) != len(h.intents) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -155,6 +156,7 @@
 	inFleet(t, 2, func(t *testing.T, f *fleet) {
 		f.kv.setFaults(0.02, 0.02, 0.02)
 		const keys = 6000
+		var done [keys]atomic.Bool
 		var wg sync.WaitGroup
 		for n := range keys {
 			time.Sleep(time.Millisecond)
@@ -162,6 +164,7 @@
 				c, _, err := f.entry(n).Begin(t.Context(), call(fmt.Sprint(n)))
 				if err == nil {
 					c.Done(kept(fmt.Sprint("answer ", n)))
+					done[n].Store(true)
 				}
 			})
 		}
@@ -170,8 +173,8 @@
 		f.kv.setFaults(0, 0, 0)
 		fresh := f.start("entry-2") // knows no segment yet
 		for n := 0; n < keys; n += 37 {
-			c, a, err := fresh.Begin(t.Context(), call(fmt.Sprint(n)))
-			if c == nil && (a == nil || string(a.Body) != fmt.Sprint("answer ", n)) {
+			_, a, err := fresh.Begin(t.Context(), call(fmt.Sprint(n)))
+			if done[n].Load() && (a == nil || string(a.Body) != fmt.Sprint("answer ", n)) {
 				t.Fatalf("key %d: %v, %v", n, a, err)
 			}
 		}
@@ -204,19 +207,53 @@
 // time pass than the one that committed them, and against keys that never expire.
 func TestKeysExpireAfterADay(t *testing.T) {
 	inFleet(t, 1, func(t *testing.T, f *fleet) {
-		mustBegin(t, f.entry(0), "old").Done(kept("old"))
+		f.isolated = true // each entry writes itself
+		first := f.entry(0)
+		mustBegin(t, first, "old").Done(kept("old"))
 		time.Sleep(12 * time.Hour)
 		// The fresh process knows nothing of the time before its start.
 		fresh := f.start("entry-1")
 		mustBegin(t, fresh, "young").Done(kept("young"))
 		time.Sleep(13 * time.Hour)
-		wantState(t, f.entry(0), "young", "done")
-		if _, a, _ := f.entry(0).Begin(t.Context(), call("young")); a == nil {
+		wantState(t, first, "young", "done")
+		if _, a, _ := first.Begin(t.Context(), call("young")); a == nil {
 			t.Fatal("a key of 13 h ran again")
 		}
 		time.Sleep(13 * time.Hour)
-		mustBegin(t, f.entry(0), "old")
-		mustBegin(t, f.entry(0), "young")
+		mustBegin(t, first, "old")
+		mustBegin(t, first, "young")
+	})
+}
+
+// Guards against a refused call that is recorded later: the write of another
+// entry that commits it is late, and the key was held when it was given up.
+func TestLateWriteOfGivenUpCallLoses(t *testing.T) {
+	inFleet(t, 1, func(t *testing.T, f *fleet) {
+		s := f.entry(0).shards[0]
+		holder := Intent{Key: HashKey("c", "k"), Attempt: Attempt{1}, State: Committed, Limit: time.Minute}
+		refused := holder
+		refused.Attempt = Attempt{2}
+		end := func(i Intent) operation {
+			i.State = NotRun
+			return operation{settles: true, proves: i.Attempt == refused.Attempt, intent: i}
+		}
+		do := func(o operation) {
+			p := newPending(t.Context(), o)
+			s.enqueue(p)
+			<-p.result
+		}
+		do(operation{intent: holder})
+		e, _ := f.kv.Get(t.Context(), s.store.headKey())
+		late, err := decodeHead(e.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		late.apply(end(holder), nil)
+		late.apply(operation{intent: refused}, nil)
+		do(end(refused))
+		if f.kv.swap(s.store.headKey(), late.encode(), e.Index) {
+			t.Fatal("the late write took effect")
+		}
 	})
 }
 
--- a/internal/ledger/lookup.go
+++ b/internal/ledger/lookup.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/go-faster/errors"
 )
@@ -69,8 +70,8 @@
 }
 
 // ServeOutcome answers GET /v1/outcomes/{key} for an authenticated caller.
-func (l *Ledger) ServeOutcome(w http.ResponseWriter, r *http.Request, caller, key string) {
-	rec, err := l.Lookup(r.Context(), caller, key)
+func (l *Ledger) ServeOutcome(w http.ResponseWriter, r *http.Request, caller *config.Caller, key string) {
+	rec, err := l.Lookup(r.Context(), caller.Name, key)
 	if err != nil {
 		fault.From(err).Write(w)
 		return
--- a/internal/ledger/writers.go
+++ b/internal/ledger/writers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -76,10 +77,15 @@
 			byName[m.Name] = m
 		}
 	}
-	ring := rendezvous.New(names, xxhash.Sum64String)
 	c := &choice{at: time.Now()}
 	for n := range c.writers {
-		c.writers[n] = byName[ring.Lookup("ledger/"+strconv.Itoa(n))]
+		name := rendezvous.New(names, xxhash.Sum64String).Lookup("ledger/" + strconv.Itoa(n))
+		c.writers[n] = byName[name]
+		if len(names) > 1 {
+			// The next shard gets another writer, since each process has a
+			// budget of writes that does not suffice for two shards at their peak.
+			names = slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == name })
+		}
 	}
 	return c
 }
--- a/internal/plain/attempt.go
+++ b/internal/plain/attempt.go
@@ -107,10 +107,9 @@
 		Trailer:       in.Trailer,
 	}).WithContext(ctx)
 	passHeaders(out.Header, in.Header)
-	out.Header.Del("Authorization")
 	quietTransport(out.Header)
 	addForwarded(out.Header, in)
-	wire.SetSecret(out.Header, p.secret)
+	wire.SetSecret(out.Header, p.secret) // replaces the caller's key
 	p.setSystemHeaders(out.Header, c, m)
 	return out
 }
--- a/internal/plain/fleet_test.go
+++ b/internal/plain/fleet_test.go
@@ -15,8 +15,11 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/ledger"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore/kvmem"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -89,6 +92,16 @@
 	})
 }
 
+// useLedger gives the router a ledger on a stand-in key-value service.
+func (f *fleet) useLedger() *kvstore.Store {
+	store := kvstore.NewStore(kvstore.Options{Latency: 3 * time.Millisecond})
+	f.router.ledger = ledger.New(ledger.Options{KV: kvmem.New(store), Members: f.view, Self: "entry"})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = f.router.ledger.Run(ctx) }()
+	f.closers = append(f.closers, cancel)
+	return store
+}
+
 // Snapshot implements config.Source.
 func (f *fleet) Snapshot() *config.Snapshot {
 	o := config.Objects{Policy: &f.policy}
@@ -135,6 +148,22 @@
 	f.closers = append(f.closers, func() { _ = srv.Close() })
 }
 
+// repair ends all failures.
+func (f *fleet) repair() {
+	f.router.secret = testSecret
+	clear(f.serve)
+	for name, s := range f.sidecars {
+		f.net.Restore(name + ":1")
+		f.net.Restore(name + ":80")
+		s.leaving.Store(false)
+		s.limit, s.upstream = defaultMaxInFlight, name
+		m := f.view.members[name]
+		m.State = membership.Serving
+		f.view.members[name] = m
+	}
+	time.Sleep(10 * time.Second)
+}
+
 func (f *fleet) executions(path string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
