--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,24 +115,29 @@
 
 // background runs loops from start to stop of the process.
 type background struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	log    *log.Logger
+	ctx   context.Context
+	loops sync.WaitGroup
+	log   *log.Logger
 }
 
 func newBackground(lc fx.Lifecycle, logger *log.Logger) *background {
 	ctx, cancel := context.WithCancel(context.Background())
-	lc.Append(fx.StopHook(cancel))
-	return &background{ctx: ctx, cancel: cancel, log: logger}
+	b := &background{ctx: ctx, log: logger}
+	lc.Append(fx.StopHook(func() {
+		cancel()
+		// The ledger still settles the intents of the calls that just ended.
+		b.loops.Wait()
+	}))
+	return b
 }
 
 // run starts a loop; it ends with the process.
 func (b *background) run(name string, loop func(context.Context) error) {
-	go func() {
+	b.loops.Go(func() {
 		if err := loop(b.ctx); err != nil && b.ctx.Err() == nil {
 			b.log.Error("background loop ended", "loop", name, "err", err)
 		}
-	}()
+	})
 }
 
 func newRelay(p Process, c peerClient, cache *relay.Cache, store *configstore.Store, table *membership.Table, id *identity, logger *log.Logger) *relay.Relay {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -10,9 +10,11 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/entry"
+	"github.com/fescueslip/fescueslip/internal/ledger"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/peer"
 	"github.com/fescueslip/fescueslip/internal/plain"
+	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/settings"
@@ -32,11 +34,12 @@
 	fx.Provide(
 		quarantine.NewKeeper,
 		entry.NewMetrics,
+		newLedger,
 		newPlainRouter,
 		newEntry,
 		entryParts,
 	),
-	fx.Invoke(runQuarantine, servePeers, serveCallers, drainOnStop),
+	fx.Invoke(runQuarantine, runLedger, servePeers, serveCallers, drainOnStop),
 )
 
 func entryLimits(s *settings.Settings) entry.Limits {
@@ -49,8 +52,20 @@
 	return l
 }
 
-func newPlainRouter(p Process, c peerClient, source config.Source, view membership.View, events *telemetry.FlightLog, logger *log.Logger) *plain.Router {
+func newLedger(p Process, c peerClient, view membership.View, kv platform.KV, logger *log.Logger) *ledger.Ledger {
+	return ledger.New(ledger.Options{
+		KV:      kv,
+		Members: view,
+		Self:    p.Settings.Instance,
+		Client:  c.Client,
+		Secret:  p.Settings.PeerSecret,
+		Logger:  logger,
+	})
+}
+
+func newPlainRouter(p Process, c peerClient, source config.Source, view membership.View, l *ledger.Ledger, events *telemetry.FlightLog, logger *log.Logger) *plain.Router {
 	return plain.NewRouter(plain.RouterOptions{
+		Ledger:        l,
 		Config:        source,
 		Members:       view,
 		Client:        c.Client,
@@ -71,6 +86,7 @@
 	Config     config.Source
 	Members    membership.View
 	Plain      *plain.Router
+	Ledger     *ledger.Ledger
 	Quarantine *quarantine.Keeper
 	Events     *telemetry.FlightLog
 	Metrics    *entry.Metrics
@@ -86,6 +102,7 @@
 		Client:        d.Client.Client,
 		Secret:        d.Process.Settings.PeerSecret,
 		Plain:         d.Plain,
+		Outcomes:      d.Ledger,
 		Quarantine:    d.Quarantine,
 		Limits:        entryLimits(d.Process.Settings),
 		Events:        d.Events,
@@ -94,12 +111,13 @@
 	})
 }
 
-func entryParts(e *entry.Entry, k *quarantine.Keeper) roleParts {
+func entryParts(e *entry.Entry, k *quarantine.Keeper, l *ledger.Ledger) roleParts {
 	return roleParts{
 		dump: func() map[string]any {
-			return map[string]any{"entry": e.State(), "quarantine": k.Record()}
+			return map[string]any{"entry": e.State(), "quarantine": k.Record(), "ledger": l.State()}
 		},
-		drain: e.Drain,
+		drain:         e.Drain,
+		commitIntents: l.CommitIntent,
 	}
 }
 
@@ -110,6 +128,10 @@
 	}))
 }
 
+func runLedger(lc fx.Lifecycle, l *ledger.Ledger, b *background) {
+	lc.Append(fx.StartHook(func() { b.run("ledger", l.Run) }))
+}
+
 // servePeers offers the control service; sidecars serve their streams beside it.
 func servePeers(lc fx.Lifecycle, p Process, r *relay.Relay, events *telemetry.FlightLog, role roleParts, sd fx.Shutdowner, logger *log.Logger) {
 	mux := http.NewServeMux()
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -24,12 +24,18 @@
 	mu    sync.Mutex
 	head  *configstore.Head
 	bytes []byte
+
+	// assembling guards the assembler, which keeps decoded pages: the next
+	// snapshot of a large configuration then costs only the pages that changed.
+	assembling sync.Mutex
+	assembler  *configstore.Assembler
+
 	pages map[string][]byte
 }
 
 // NewCache returns an empty cache that offers snapshots to holder.
 func NewCache(holder *config.Holder) *Cache {
-	return &Cache{holder: holder, pages: make(map[string][]byte)}
+	return &Cache{holder: holder, assembler: configstore.NewAssembler(), pages: make(map[string][]byte)}
 }
 
 // Revision returns the revision of the cached head, or 0.
@@ -79,7 +85,7 @@
 		return false, nil
 	}
 	pages := c.collect(head, fresh)
-	snapshot, err := configstore.Assemble(head, pages)
+	snapshot, err := c.assemble(head, pages)
 	if err != nil {
 		return false, errors.Wrap(err, "assemble configuration from a peer")
 	}
@@ -93,6 +99,12 @@
 	return c.holder.Offer(snapshot), nil
 }
 
+func (c *Cache) assemble(head *configstore.Head, pages map[string][]byte) (*config.Snapshot, error) {
+	c.assembling.Lock()
+	defer c.assembling.Unlock()
+	return c.assembler.Assemble(head, pages)
+}
+
 // collect returns the pages of head, and only those, so that the cache does not
 // grow with every revision.
 func (c *Cache) collect(head *configstore.Head, fresh map[string][]byte) map[string][]byte {
