--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -45,10 +45,12 @@
 		metric.WithDescription("Output tokens delivered to callers."))
 	note(err)
 	out.duration, err = m.Float64Histogram("fescueslip.entry.request.duration", metric.WithUnit("s"),
-		metric.WithDescription("Time from acceptance to the end of the answer."))
+		metric.WithDescription("Time from acceptance to the end of the answer."),
+		metric.WithExplicitBucketBoundaries(0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25, 60, 120, 300, 600))
 	note(err)
 	out.firstToken, err = m.Float64Histogram("fescueslip.entry.first_token.duration", metric.WithUnit("s"),
-		metric.WithDescription("Time from acceptance to the first token."))
+		metric.WithDescription("Time from acceptance to the first token."),
+		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 20))
 	note(err)
 	return &out, errors.Join(errs...)
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -14,7 +14,7 @@
 // NewMeter returns a meter whose instruments are read from the registry.
 func NewMeter() (metric.Meter, *prometheus.Registry, error) {
 	reg := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(reg))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(reg), otelprom.WithoutScopeInfo())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "create metrics exporter")
 	}
