Keep holds while the engine does; find lost prefill answers; test the sidecar

A hold was ended at its announced time, although an engine extends it while a transfer makes progress; the sidecar now asks the engine first. prompt_tokens of a reservation counts delivered output, as entries send it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 )
 
@@ -87,6 +88,8 @@
 	ResumeTokens int    `json:"resume_tokens"`
 	MaxTokens    int    `json:"max_tokens"`
 	Priority     int    `json:"priority"`
+	// Sampling is a JSON object that the engine takes as it is; empty for none.
+	Sampling json.RawMessage `json:"sampling,omitempty"`
 }
 
 // Token is one line of a decode stream. The last line has a FinishReason and
--- /dev/null
+++ b/internal/sidecar/aggregates_test.go
@@ -0,0 +1,155 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against slots or chunks that are owned twice, lost or never given to
+// those that wait, in any order of steps.
+func TestReservationsStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shape := Shape{Slots: 4, Chunks: 10, ChunkTokens: 100}
+		r := NewReservations(shape)
+		now := time.Duration(0)
+		var live []*Reservation
+		pick := func(t *rapid.T) *Reservation {
+			if len(live) == 0 {
+				t.Skip("none")
+			}
+			return rapid.SampledFrom(live).Draw(t, "reservation")
+		}
+		drop := func(x *Reservation) {
+			r.Release(now, x)
+			r.Promote(now)
+			for i, y := range live {
+				if y == x {
+					live = append(live[:i:i], live[i+1:]...)
+					return
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"grant": func(t *rapid.T) {
+				x := &Reservation{
+					ID:     fmt.Sprint(len(live)),
+					Caller: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller"),
+					Share:  1,
+					Chunks: rapid.IntRange(1, 4).Draw(t, "chunks"),
+				}
+				fits := r.FitsNow(x.Chunks)
+				if r.Grant(now, x) != fits {
+					t.Fatal("a reservation that fits must be firm, and no other")
+				}
+				live = append(live, x)
+			},
+			"start": func(t *rapid.T) {
+				x := pick(t)
+				r.Start(now, x, rapid.IntRange(1, 300).Draw(t, "tokens"), 50)
+			},
+			"advance": func(t *rapid.T) {
+				x := pick(t)
+				if x.state != started {
+					t.Skip("not started")
+				}
+				running := r.count(started)
+				if v := r.Advance(now, x, x.Tokens+rapid.IntRange(1, 120).Draw(t, "more"), 8); v != nil {
+					if v.state != started || running < 2 {
+						t.Fatalf("paused %+v of %d running", v, running)
+					}
+					drop(v)
+				}
+			},
+			"release": func(t *rapid.T) { drop(pick(t)) },
+			"tick":    func(t *rapid.T) { now += time.Second },
+			"": func(t *rapid.T) {
+				slots, chunks := 0, 0
+				for _, x := range live {
+					if x.state != anticipated {
+						slots++
+						chunks += x.Chunks
+					}
+				}
+				usedSlots, usedChunks := r.Used()
+				if slots != usedSlots || chunks != usedChunks || slots > shape.Slots || chunks > shape.Chunks {
+					t.Fatalf("owned %d slots and %d chunks, accounted %d and %d of %+v", slots, chunks, usedSlots, usedChunks, shape)
+				}
+				for _, x := range live {
+					if x.wants > 0 && usedChunks < shape.Chunks {
+						t.Fatalf("%d chunks are free while %+v waits for some", shape.Chunks-usedChunks, x)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against taking memory from a caller below its share, from the oldest
+// stream, or from the only one.
+func TestPauseChoice(t *testing.T) {
+	grant := func(r *Reservations, caller string, share float64, start bool) *Reservation {
+		x := &Reservation{Caller: caller, Share: share, Chunks: 2}
+		r.Grant(0, x)
+		if start {
+			r.Start(0, x, 200, 0)
+		}
+		return x
+	}
+	full := func() *Reservations { return NewReservations(Shape{Slots: 8, Chunks: 6, ChunkTokens: 100}) }
+
+	r := full()
+	grant(r, "a", 1, true)
+	last := grant(r, "a", 1, true)
+	b := grant(r, "b", 1, true)
+	if v := r.Advance(0, b, 200, 8); v != last {
+		t.Fatalf("paused %+v, want the most recent stream of the caller furthest over its share", v)
+	}
+	r = full()
+	grant(r, "a", 4, true)
+	grant(r, "a", 4, true)
+	b = grant(r, "b", 1, true)
+	if v := r.Advance(0, b, 200, 8); v != b {
+		t.Fatalf("paused %+v, want the growing stream of the caller furthest over its share", v)
+	}
+	r = full()
+	only := grant(r, "a", 1, true)
+	idle := []*Reservation{grant(r, "b", 1, false), grant(r, "b", 1, false)}
+	if v := r.Advance(0, only, 200, 8); v != nil || idle[1].state != anticipated || only.Chunks != 3 {
+		t.Fatalf("paused %+v, want the place of an unstarted reservation", v)
+	}
+	r.Release(0, idle[0])
+	r.Release(0, idle[1])
+	if v := r.Advance(0, only, 800, 8); v != nil {
+		t.Fatalf("paused %+v, the only stream", v)
+	}
+}
+
+// Guards against a suspect that is refused for ever, one that crashes an engine
+// again and again, and memory that grows with the number of crashes.
+func TestSuspectsMemory(t *testing.T) {
+	s := NewSuspects()
+	s.Enter("1/1", "fp")
+	s.Enter("2/1", "other")
+	s.Exit("2/1")
+	if n := s.Crash(0); n != 1 || !s.Refuses(0, "fp", false) || s.Refuses(0, "fp", true) || s.Refuses(0, "other", false) {
+		t.Fatal("only the request in flight is a suspect, and it may run when marked")
+	}
+	s.Enter("1/2", "fp")
+	s.Crash(0)
+	if !s.Refuses(0, "fp", true) {
+		t.Fatal("two crashes of one engine must be enough")
+	}
+	if s.Refuses(2*suspectMemory, "fp", false) {
+		t.Fatal("remembered for ever")
+	}
+	for i := range 2 * maxSuspects {
+		s.Enter("x", fingerprint(fmt.Sprint(i)))
+		s.Crash(0)
+	}
+	if s.Remembered() > maxSuspects {
+		t.Fatalf("%d remembered", s.Remembered())
+	}
+}
--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/fescueslip/fescueslip/internal/engine"
 	"github.com/fescueslip/fescueslip/internal/policy/fairqueue"
 )
@@ -84,6 +86,40 @@
 	handle string // set while a prefill output is held
 	tries  int
 	calls  sync.WaitGroup
+	// interrupt ends a call whose answer seems lost; misses counts the sweeps
+	// that say so.
+	interrupt func()
+	misses    int
+}
+
+// errAnswerLost reports that the engine has ended a call, or does not know it,
+// while the answer is still missing: the connection has gone silent.
+var errAnswerLost = errors.New("the connection to the engine went silent; the call is given up")
+
+// maxMisses is the number of sweeps in a row after which a call is given up. One
+// can see a call before the engine does, or an answer that is on its way.
+const maxMisses = 2
+
+// watch names what ends the call that runs now; nil when none does.
+func (w *work) watch(interrupt func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupt, w.misses = interrupt, 0
+}
+
+// seen compares a running prefill with the phase in which the engine lists it,
+// "" when it does not.
+func (w *work) seen(phase engine.Phase) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.interrupt == nil || phase == engine.PhasePrefill {
+		w.misses = 0
+		return
+	}
+	w.misses++
+	if w.misses == maxMisses {
+		w.interrupt()
+	}
 }
 
 // begin announces a call that may take engine memory. It fails once the claim
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -27,8 +27,7 @@
 type decodeClaim struct {
 	claim
 	res       *Reservation
-	prompt    int // tokens
-	resume    int // output tokens that the caller already has
+	prompt    int // tokens, those of delivered output included
 	predicted int // further output tokens expected
 	produced  int // output tokens produced here
 	ran       bool
@@ -64,7 +63,7 @@
 	if ref := d.check(&c.claim, engine.RoleDecode); ref != nil {
 		return nil, ref
 	}
-	most := c.prompt + max(c.resume+c.predicted, int(r.GetMaxTokens()))
+	most := c.prompt + max(c.predicted, int(r.GetMaxTokens()))
 	if d.decode.res.TooLarge(most) {
 		return nil, tooLarge("prompt and output exceed the engine's memory; shorten the prompt or lower max_tokens")
 	}
@@ -88,7 +87,6 @@
 	c := &decodeClaim{
 		claim:     newClaim(r.GetRequestId(), r.GetAttempt(), r.GetCaller(), share, r.GetFingerprint(), r.GetSuspect()),
 		prompt:    int(r.GetPromptTokens()),
-		resume:    int(r.GetResumeTokens()),
 		predicted: max(1, int(r.GetPredictedTokens())),
 		ready:     make(chan struct{}),
 	}
@@ -99,7 +97,7 @@
 		ID:          c.id,
 		Caller:      c.caller,
 		Share:       c.share,
-		Chunks:      d.decode.res.Need(c.prompt + c.resume + c.predicted),
+		Chunks:      d.decode.res.Need(c.prompt + c.predicted),
 		Predicted:   c.predicted,
 		PrefillTime: time.Duration(r.GetPrefillMs()) * time.Millisecond,
 	}
@@ -140,11 +138,10 @@
 func (d *desk) start(c *decodeClaim, resume, maxTokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c.resume = resume
 	if left := maxTokens - resume; maxTokens > 0 && left < c.predicted {
 		c.predicted = max(1, left)
 	}
-	if d.decode.res.Start(d.now(), c.res, c.prompt+c.resume, c.predicted) {
+	if d.decode.res.Start(d.now(), c.res, c.prompt, c.predicted) {
 		c.markReady()
 	}
 	d.pump()
@@ -188,7 +185,7 @@
 	}
 	c.produced = produced
 	ahead := max(minGrowLead, int(growLead/max(time.Millisecond, q.step)))
-	victim := q.res.Advance(d.now(), c.res, c.prompt+c.resume+produced, ahead)
+	victim := q.res.Advance(d.now(), c.res, c.prompt+produced, ahead)
 	if v := q.claims[victim]; victim != nil && v != nil {
 		v.pause()
 	}
--- a/internal/sidecar/fake_test.go
+++ b/internal/sidecar/fake_test.go
@@ -26,8 +26,10 @@
 
 	prefillTime, importTime, step time.Duration
 	outputTokens                  int
-	stallImports                  int // imports that never end
-	lostCancels                   int // cancels without an answer
+	stallImports                  int           // imports that never end
+	lostCancels                   int           // cancels without an answer
+	loseAnswers                   bool          // of prefills
+	holdTime                      time.Duration // it tells 800 ms
 	crashOn                       string
 	lateOrder                     *engine.Order // applied after the next order
 }
@@ -52,6 +54,7 @@
 		importTime:   20 * time.Millisecond,
 		step:         10 * time.Millisecond,
 		outputTokens: 20,
+		holdTime:     800 * time.Millisecond,
 	}
 	f.alive, f.kill = context.WithCancel(context.Background())
 	return f
@@ -154,6 +157,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.phase, r.handle = engine.PhaseHeld, "h-"+q.RequestID
+	if f.loseAnswers {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return engine.PrefillResult{}, context.Cause(ctx)
+	}
+	time.AfterFunc(f.holdTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.reqs, q.RequestID)
+	})
 	return engine.PrefillResult{Handle: r.handle, Tokens: tokens, KVBytes: int64(tokens) * 100, HoldMS: 800}, nil
 }
 
--- /dev/null
+++ b/internal/sidecar/orders_test.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/platform"
+)
+
+// fakeKV is a key-value service that can lose acknowledgements and be down.
+type fakeKV struct {
+	mu      sync.Mutex
+	value   []byte
+	index   uint64
+	down    bool
+	loseAck bool
+}
+
+func (k *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.down {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return platform.Entry{Key: key, Value: k.value, Index: k.index}, nil
+}
+
+func (k *fakeKV) CompareAndSwap(_ context.Context, _ string, value []byte, index uint64) (bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case k.down:
+		return false, platform.ErrUnavailable
+	case index != k.index:
+		return false, nil
+	}
+	k.value, k.index = value, k.index+1
+	if k.loseAck {
+		k.loseAck = false
+		return false, platform.ErrUnavailable
+	}
+	return true, nil
+}
+
+func (k *fakeKV) Watch(context.Context, string, uint64) (platform.Entry, error) {
+	return platform.Entry{}, platform.ErrUnavailable
+}
+
+func newTestOrders(kv platform.KV, f engine.Client, holder string, checks bool) *Orders {
+	return NewOrders(OrdersOptions{KV: kv, Engine: f, Upstream: "up", Holder: holder, ChecksFencing: func() bool { return checks }})
+}
+
+func load(id string) engine.Order {
+	return engine.Order{ID: id, Kind: engine.OrderLoadModel, Model: id}
+}
+
+// Guards against an old holder's order that stays in force at an engine that
+// ignores tokens, and against an order before the old lease has ended.
+func TestOrderWaitsOutTheFormerHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, f := &fakeKV{}, newFakeEngine(engine.RoleDecode)
+		old, next := newTestOrders(kv, f, "old", false), newTestOrders(kv, f, "next", false)
+		if err := old.Issue(t.Context(), load("a")); err != nil {
+			t.Fatal(err)
+		}
+		begin := time.Now()
+		late := load("late")
+		late.Fencing = 1
+		f.lateOrder = &late
+		if err := next.Issue(t.Context(), load("b")); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begin); took < orderLease {
+			t.Fatalf("issued after %v, before the former lease had ended", took)
+		}
+		if f.current.ID != "b" || f.current.Fencing != 2 {
+			t.Fatalf("in force: %+v, want b with token 2", f.current)
+		}
+		f.apply(late)
+		if err := next.Recheck(t.Context()); err != nil || f.current.ID != "b" {
+			t.Fatalf("in force after a late order: %+v (%v), want b", f.current, err)
+		}
+	})
+}
+
+// Guards against two holders that both think they may issue orders, and against
+// orders without a confirmed token.
+func TestOrderNeedsAConfirmedToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, f := &fakeKV{}, newFakeEngine(engine.RoleDecode)
+		a, b := newTestOrders(kv, f, "a", false), newTestOrders(kv, f, "b", true)
+		if err := a.Issue(t.Context(), load("1")); err != nil {
+			t.Fatal(err)
+		}
+		c := newTestOrders(kv, f, "c", false)
+		got := make(chan error)
+		go func() { got <- c.Issue(t.Context(), load("2")) }()
+		time.Sleep(time.Second)
+		if err := b.Issue(t.Context(), load("3")); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-got; !errors.Is(err, ErrSuperseded) || f.current.ID != "3" {
+			t.Fatalf("got %v with %+v in force, want superseded by 3", err, f.current)
+		}
+		kv.loseAck = true
+		if err := b.Issue(t.Context(), load("4")); err != nil || f.current.ID != "4" {
+			t.Fatalf("lost acknowledgement: %v, %+v in force", err, f.current)
+		}
+		kv.down = true
+		if err := b.Issue(t.Context(), load("5")); !errors.Is(err, ErrFenceUnavailable) || f.current.ID != "4" {
+			t.Fatalf("service down: %v, %+v in force", err, f.current)
+		}
+	})
+}
--- a/internal/sidecar/output.go
+++ b/internal/sidecar/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -148,6 +149,7 @@
 		Prompt:       start.GetPrompt(),
 		ResumeTokens: int(start.GetResumeTokens()),
 		MaxTokens:    int(start.GetMaxTokens()),
+		Sampling:     json.RawMessage(start.GetSampling()),
 	})
 	if err != nil {
 		return err
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,8 @@
 	// its accounted memory is free.
 	busyPause = 50 * time.Millisecond
 	busyTries = 20
+	// holdRecheck spaces the looks at an output that is held beyond its time.
+	holdRecheck = 50 * time.Millisecond
 )
 
 // prefillSession walks one prefill attempt through its steps: queued, started,
@@ -97,11 +100,11 @@
 	}
 	x.s.record(&x.c.claim, "prefill started", "")
 	x.send(&wire.PrefillReply{Body: &wire.PrefillReply_Started{Started: &wire.Started{}}})
-	ctx, cancel := context.WithCancel(x.ctx)
-	defer cancel()
-	defer context.AfterFunc(b.ctx, cancel)()
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(b.ctx, func() { cancel(errEngineLost) })()
 	begin := time.Now()
-	r, err := x.submit(ctx, b)
+	r, err := x.submit(ctx, b, func() { cancel(errAnswerLost) })
 	if err != nil {
 		x.computeFailed(b, err)
 		return
@@ -119,8 +122,8 @@
 	x.hold(ctx, b, time.Duration(r.HoldMS)*time.Millisecond)
 }
 
-// submit calls the engine, again when it was busy.
-func (x *prefillSession) submit(ctx context.Context, b *boot) (engine.PrefillResult, error) {
+// submit calls the engine, again when it was busy. giveUp ends ctx.
+func (x *prefillSession) submit(ctx context.Context, b *boot, giveUp func()) (engine.PrefillResult, error) {
 	req := engine.PrefillRequest{
 		RequestID: x.c.id,
 		Model:     x.c.model,
@@ -131,7 +134,9 @@
 		if !x.c.work.begin(b, x.c.id) {
 			return engine.PrefillResult{}, context.Cause(x.ctx)
 		}
+		x.c.work.watch(giveUp)
 		r, err := x.s.o.Engine.Prefill(ctx, req)
+		x.c.work.watch(nil)
 		if err == nil {
 			x.c.work.hold(r.Handle)
 		}
@@ -170,23 +175,38 @@
 func (x *prefillSession) hold(ctx context.Context, b *boot, left time.Duration) {
 	evict := time.NewTimer(left)
 	defer evict.Stop()
-	select {
-	case <-ctx.Done():
-		if x.ctx.Err() == nil && b.lost() {
-			x.c.work.cleared()
-			x.release()
-			x.failed(wire.FailureKind_FAILURE_EVICTED, "the engine restarted and lost the output; run the prefill again")
+	for {
+		select {
+		case <-ctx.Done():
+			if x.ctx.Err() == nil && b.lost() {
+				x.lostOutput("the engine restarted and lost the output; run the prefill again")
+			}
+			return
+		case <-evict.C:
+			if !x.stillHeld(ctx) {
+				x.s.desk.evicted(x.c)
+				x.lostOutput("nobody fetched the output in time; run the prefill again")
+				return
+			}
+			evict.Reset(holdRecheck)
 		}
-	case <-evict.C:
-		// The engine evicts by itself. The output is not released here, because
-		// an import that is under way may still end in time.
-		x.c.work.cleared()
-		x.s.desk.evicted(x.c)
-		x.release()
-		x.failed(wire.FailureKind_FAILURE_EVICTED, "nobody fetched the output in time; run the prefill again")
 	}
 }
 
+// lostOutput ends a hold whose output the engine no longer has.
+func (x *prefillSession) lostOutput(detail string) {
+	x.c.work.cleared()
+	x.release()
+	x.failed(wire.FailureKind_FAILURE_EVICTED, detail)
+}
+
+// stillHeld asks the engine whether it keeps the output beyond its time, which
+// it may do while a transfer makes progress. Without an answer it counts as held.
+func (x *prefillSession) stillHeld(ctx context.Context) bool {
+	list, err := x.s.o.Engine.Requests(ctx)
+	return err != nil || slices.ContainsFunc(list, func(r engine.RequestInfo) bool { return r.RequestID == x.c.id })
+}
+
 func (x *prefillSession) refused(r *refusal) {
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
--- a/internal/sidecar/sweep.go
+++ b/internal/sidecar/sweep.go
@@ -78,9 +78,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetEnded(seen)
-	listed := make(map[string]bool, len(list))
+	listed := make(map[string]engine.Phase, len(list))
 	for _, r := range list {
-		listed[r.RequestID] = true
+		listed[r.RequestID] = r.Phase
 		if d.heldByLive(r.RequestID) {
 			continue
 		}
@@ -93,10 +93,13 @@
 		}
 	}
 	for id := range d.orphans {
-		if !listed[id] {
+		if listed[id] == "" {
 			d.dropOrphan(id)
 		}
 	}
+	for _, c := range d.live {
+		c.work.seen(listed[c.work.lastID()])
+	}
 	return cancel
 }
 
