--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,7 @@
 	accounts    accountTable
 	lengths     *lengths
 	cache       *prefixCache
+	usage       *usageTable
 	retries     retries
 	subsets     subsetCache
 	quarantine  *quarantine.Keeper
@@ -122,6 +123,7 @@
 
 		lengths:    newLengths(),
 		cache:      newPrefixCache(),
+		usage:      newUsageTable(),
 		quarantine: o.Quarantine,
 	}
 	e.handler = e.routes()
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -89,8 +89,10 @@
 
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
 	r.ready = ready
-	r.entry.prefillRate.observe(ready.Tokens-min(ready.Tokens, ready.CachedTokens), time.Since(r.prefillBegan))
 	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
+	computed := ready.Tokens - min(ready.Tokens, ready.CachedTokens)
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.PrefillPool, c.target.upstream, float64(computed))
+	r.entry.prefillRate.observe(computed, time.Since(r.prefillBegan))
 	r.record("prefilled", c.target.upstream, "")
 	if r.decode == nil {
 		return nil
@@ -136,6 +138,8 @@
 		WaitedMs:       milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:    r.req.Fingerprint[:],
 		Suspect:        r.req.Suspect,
+		CallerUsage:    r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.PrefillPool, t.upstream),
+		Source:         r.entry.instance,
 		ConfigRevision: r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.PrefillRequest, *wire.PrefillReply]{
@@ -168,6 +172,8 @@
 		WaitedMs:        milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:     r.req.Fingerprint[:],
 		Suspect:         r.req.Suspect,
+		CallerUsage:     r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.DecodePool, t.upstream),
+		Source:          r.entry.instance,
 		ConfigRevision:  r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.DecodeRequest, *wire.DecodeReply]{
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -54,6 +54,7 @@
 	candidates []target
 	pending    []*decodeConn
 	decode     *decodeConn // holds the granted reservation
+	charged    float64     // cost noted for that reservation
 	refusals   []*wire.Refused
 	accepted   bool // a reservation was granted; the request is owed its answer
 
@@ -259,6 +260,7 @@
 		return nil
 	}
 	r.decode = c
+	r.charge()
 	if !r.accepted {
 		r.entry.retries.first(r.snap.Policy.RetryBudget, r.req.Caller.Name, c.target.upstream)
 		r.entry.accounts.of(r.req.Caller.Name).granted(time.Since(r.req.Accepted))
@@ -281,6 +283,7 @@
 	r.record("refused", c.target.upstream, f.Kind.String()+" "+f.Detail)
 	r.refusals = append(r.refusals, f)
 	if c == r.decode {
+		r.settleCharge()
 		r.decode = nil
 	}
 	r.dropPending(c, "refused")
@@ -390,11 +393,27 @@
 	return nil
 }
 
+// charge notes the cost of the granted reservation; settleCharge replaces the
+// predicted output by the real one when the attempt has ended.
+func (r *runner) charge() {
+	r.charged = float64(r.req.PromptTokens) + outputWeight*float64(r.req.Delivered()+r.entry.predict(r.req))
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.DecodePool, r.decode.target.upstream, r.charged)
+}
+
+func (r *runner) settleCharge() {
+	real := float64(r.req.PromptTokens) + outputWeight*float64(r.req.Delivered())
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.DecodePool, r.decode.target.upstream, real-r.charged)
+}
+
 func (r *runner) closeReservations(reason string) {
 	for _, p := range r.pending {
 		p.close(cancelDecode(reason))
 	}
 	r.pending = nil
+	if r.decode == nil {
+		return
+	}
+	r.settleCharge()
 	r.decode.close(cancelDecode(reason))
 	r.decode = nil
 }
--- /dev/null
+++ b/internal/entry/usage.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/policy/fairqueue"
+)
+
+// outputWeight is the cost of an output token in prompt tokens; sidecars charge
+// the same, so that usage and queue costs compare.
+const outputWeight = 8
+
+// usageSweep is the time between two removals of callers whose usage has decayed.
+const usageSweep = 30 * time.Second
+
+// negligibleUsage is the usage, in cost tokens, below which a caller is forgotten.
+const negligibleUsage = 1.0
+
+// usageTable tracks what each caller was recently served through this entry, by
+// upstream. Sidecars are told the part that others served, so that callers get
+// even service over all upstreams and not only at each.
+type usageTable struct {
+	start time.Time
+
+	mu     sync.Mutex
+	byName map[usageKey]*callerUsage
+	swept  time.Duration
+}
+
+// usageKey separates the pools: a caller may have used much prefill and little decode.
+type usageKey struct{ caller, pool string }
+
+type callerUsage struct {
+	total      fairqueue.Usage
+	byUpstream map[string]*fairqueue.Usage
+}
+
+func newUsageTable() *usageTable {
+	return &usageTable{start: time.Now(), byName: make(map[usageKey]*callerUsage)}
+}
+
+// add charges cost that an upstream of a pool served; corrections may be negative.
+func (t *usageTable) add(caller, pool, upstream string, cost float64) {
+	now := time.Since(t.start)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	key := usageKey{caller: caller, pool: pool}
+	c, ok := t.byName[key]
+	if !ok {
+		c = &callerUsage{byUpstream: make(map[string]*fairqueue.Usage)}
+		t.byName[key] = c
+	}
+	u, ok := c.byUpstream[upstream]
+	if !ok {
+		u = new(fairqueue.Usage)
+		c.byUpstream[upstream] = u
+	}
+	c.total.Add(now, cost)
+	u.Add(now, cost)
+}
+
+// elsewhere returns what the caller was served in the pool by other upstreams.
+func (t *usageTable) elsewhere(caller, pool, upstream string) float64 {
+	now := time.Since(t.start)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.byName[usageKey{caller: caller, pool: pool}]
+	if !ok {
+		return 0
+	}
+	other := c.total.At(now)
+	if u, ok := c.byUpstream[upstream]; ok {
+		other -= u.At(now)
+	}
+	return max(0, other)
+}
+
+func (t *usageTable) sweep(now time.Duration) {
+	if now-t.swept < usageSweep {
+		return
+	}
+	t.swept = now
+	for key, c := range t.byName {
+		if c.total.At(now) < negligibleUsage {
+			delete(t.byName, key)
+		}
+	}
+}
