--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -39,7 +39,8 @@
 func (*demoCommand) Usage() string {
 	return `demo [-base-port P] [-for 20s]
   Entries for callers on ports P and P+1, their admin ports on P+10 and P+11,
-  the stand-ins' control on P+9. With -for it runs a mixed load that long,
+  the stand-ins' control on P+9, the platform's key-value service on P+2 and its
+  instance list on P+3. With -for it runs a mixed load that long,
   prints a table and exits with 1 if a promise broke.
 `
 }
@@ -96,6 +97,7 @@
 curl http://127.0.0.1:%[3]d/faults -d '{"target":"decode-1","kind":"crash","for":"5s"}'
 curl http://127.0.0.1:%[3]d/state
 curl http://127.0.0.1:%[4]d/debug/state
+fescueslip ticket list -kv http://127.0.0.1:%[5]d
 
-`, basePort, basePort+1, basePort+9, basePort+10)
+`, basePort, basePort+1, basePort+9, basePort+10, basePort+2)
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -58,7 +58,20 @@
 		Entry:   func(i int) string { return port(basePort + i) },
 		Admin:   func(i int) string { return port(basePort + 10 + i) },
 		Control: port(basePort + 9),
-		Other:   func(string) string { return port(0) },
+		Other:   func(name string) string { return loopbackOther(basePort, name) },
+	}
+}
+
+// loopbackOther gives the platform's services fixed ports, because operators'
+// commands name them, and everything else any free port.
+func loopbackOther(basePort int, name string) string {
+	switch name {
+	case "kv":
+		return port(basePort + 2)
+	case "instances":
+		return port(basePort + 3)
+	default:
+		return port(0)
 	}
 }
 
