Pause no more streams than growth needs

Streams that outgrew their memory at the same time each paused a stream, or none once a pause was under way; now chunks that are coming free are counted.

--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -126,10 +126,11 @@
 		d.start("h")
 		d.until(isTokens)
 		drained := make(chan error, 1)
+		begin := time.Now()
 		go func() { drained <- r.side.Drain(context.Background()) }()
 		synctest.Wait()
-		if m := d.until(func(m *wire.DecodeReply) bool { return m.GetBeat() != nil }); !m.GetLoad().GetLeaving() {
-			t.Fatalf("the next heartbeat does not tell the leaving: %v", m)
+		if d.until(func(m *wire.DecodeReply) bool { return m.GetLoad().GetLeaving() }) == nil || time.Since(begin) > 0 {
+			t.Fatalf("the leaving was told after %v, want at once", time.Since(begin))
 		}
 		late := r.decode(reserveFrame("b", "x"))
 		defer late.Close()
--- a/internal/sidecar/decode_test.go
+++ b/internal/sidecar/decode_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/engine"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -166,3 +167,97 @@
 		}
 	})
 }
+
+// Guards against streams that outgrow the engine's memory, against pausing more
+// than is needed, and against output that is lost when a stream is paused.
+func TestGrowthPausesAStream(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	f.outputTokens = 280 // with the prompt, 4 chunks
+	inRig(t, f, func(r *rig) {
+		done := make(chan *wire.DecodeReply)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			d := r.decode(reserveFrame(id, id))
+			go func() {
+				defer d.Close()
+				d.until(isGranted)
+				d.start("h")
+				next := uint64(0)
+				done <- d.until(func(m *wire.DecodeReply) bool {
+					if k := m.GetTokens(); k != nil && k.Index != next {
+						t.Errorf("tokens at %d, want %d", k.Index, next)
+					}
+					next += uint64(len(m.GetTokens().GetText()))
+					return isLast(m)
+				})
+			}()
+		}
+		whole, paused := 0, 0
+		for range 4 {
+			m := <-done
+			if m.GetDone().GetTotalTokens() == 280 {
+				whole++
+			}
+			if m.GetFailed().GetKind() == wire.FailureKind_FAILURE_PREEMPTED {
+				paused++
+			}
+		}
+		// Four streams of 4 chunks each want 16 chunks of 8.
+		if whole != 2 || paused != 2 || f.peak.chunks > 8 {
+			t.Fatalf("%d whole, %d paused, peak of %d chunks; want 2, 2 and at most 8", whole, paused, f.peak.chunks)
+		}
+	})
+}
+
+// Guards against an anticipation setting that is not followed, and against an
+// import into a place that is not free yet.
+func TestAnticipation(t *testing.T) {
+	for _, c := range []struct {
+		anticipation float64
+		early        bool
+	}{{0, false}, {1, true}} {
+		f := newFakeEngine(engine.RoleDecode)
+		f.info.Slots, f.outputTokens = 1, 50
+		inRig(t, f, func(r *rig) {
+			first := r.decode(reserveFrame("a", "x"))
+			defer first.Close()
+			first.until(isGranted)
+			first.start("h")
+			first.until(isTokens)
+			time.Sleep(300 * time.Millisecond)
+			m := reserveFrame("b", "x")
+			m.PrefillMs = 2000
+			second := r.decode(m)
+			defer second.Close()
+			g := second.until(func(m *wire.DecodeReply) bool { return isGranted(m) || isQueued(m) })
+			if early := g.GetGranted().GetFreeInMs() > 0; early != c.early {
+				t.Fatalf("anticipation %v: got %v", c.anticipation, g)
+			}
+			if !c.early && second.until(isGranted).GetGranted().GetFreeInMs() != 0 {
+				t.Fatal("granted before the place was free")
+			}
+			second.start("h")
+			if m := second.until(isLast); m.GetDone() == nil || f.peak.running > 1 {
+				t.Fatalf("got %v with a peak of %d requests in one slot", m, f.peak.running)
+			}
+		}, func(p *config.Policy) { p.Anticipation = c.anticipation })
+	}
+}
+
+// Guards against slots that are granted, renewed and never used without anybody
+// being able to see it.
+func TestUnusedGrantIsCounted(t *testing.T) {
+	inRig(t, newFakeEngine(engine.RoleDecode), func(r *rig) {
+		d := r.decode(reserveFrame("a", "x"))
+		d.until(isGranted)
+		time.Sleep(10 * time.Second)
+		if st := r.side.State().Decode; st.Granted != 1 {
+			t.Fatalf("a renewed grant was dropped: %+v", st)
+		}
+		d.Close()
+		time.Sleep(time.Second)
+		// 10 s less 100 ms of prefill and the margin.
+		if ms := r.side.State().Decode.UnusedSlotMS; ms < 9000 || ms > 9500 {
+			t.Fatalf("unused for %d ms, want about 9400", ms)
+		}
+	})
+}
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -18,8 +18,9 @@
 	initialStep = 25 * time.Millisecond
 	stepWeight  = 0.05
 	// growLead is how long before a stream outgrows its chunks the next one is
-	// taken: time to cancel a victim and to confirm it.
-	growLead    = 300 * time.Millisecond
+	// taken: time to cancel a victim and to confirm it. A longer lead would pause
+	// streams for others that end before they need the memory.
+	growLead    = 100 * time.Millisecond
 	minGrowLead = 4 // tokens
 )
 
@@ -30,6 +31,7 @@
 	prompt    int // tokens, those of delivered output included
 	predicted int // further output tokens expected
 	produced  int // output tokens produced here
+	limit     int // most output tokens to produce here; 0 for none
 	ran       bool
 	ready     chan struct{} // closed when the engine may be used after Start
 	// paused ends when the stream must give up its memory.
@@ -138,8 +140,9 @@
 func (d *desk) start(c *decodeClaim, resume, maxTokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if left := maxTokens - resume; maxTokens > 0 && left < c.predicted {
-		c.predicted = max(1, left)
+	if maxTokens > 0 {
+		c.limit = max(1, maxTokens-resume)
+		c.predicted = min(c.predicted, c.limit)
 	}
 	if d.decode.res.Start(d.now(), c.res, c.prompt, c.predicted) {
 		c.markReady()
@@ -185,6 +188,9 @@
 	}
 	c.produced = produced
 	ahead := max(minGrowLead, int(growLead/max(time.Millisecond, q.step)))
+	if c.limit > 0 {
+		ahead = max(0, min(ahead, c.limit-produced))
+	}
 	victim := q.res.Advance(d.now(), c.res, c.prompt+produced, ahead)
 	if v := q.claims[victim]; victim != nil && v != nil {
 		v.pause()
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -79,27 +79,48 @@
 	}
 }
 
-// decodeStream is an entry's end of a decode stream.
+// maxFrames is the number of frames that an entry's end of a stream keeps.
+const maxFrames = 1 << 14
+
+// decodeStream is an entry's end of a decode stream. It reads all the time, as
+// entries do.
 type decodeStream struct {
 	*wire.Stream[*wire.DecodeRequest, *wire.DecodeReply]
-	t *testing.T
+	t      *testing.T
+	frames chan *wire.DecodeReply
 }
 
-func (r *rig) decode(res *wire.Reserve) *decodeStream {
-	r.t.Helper()
-	s, err := wire.Dial[*wire.DecodeRequest](context.Background(), r.client, "http://"+testAddr+"/stream/decode", testSecret,
+func dialDecode(t *testing.T, hc *http.Client, addr string, res *wire.Reserve) *decodeStream {
+	t.Helper()
+	s, err := wire.Dial[*wire.DecodeRequest](context.Background(), hc, "http://"+addr+"/stream/decode", testSecret,
 		func() *wire.DecodeReply { return new(wire.DecodeReply) })
 	if err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
-	d := &decodeStream{Stream: s, t: r.t}
+	d := &decodeStream{Stream: s, t: t, frames: make(chan *wire.DecodeReply, maxFrames)}
 	d.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Reserve{Reserve: res}})
 	go s.Heartbeat(func() *wire.DecodeRequest {
 		return &wire.DecodeRequest{Body: &wire.DecodeRequest_Renew{Renew: &wire.Renew{}}}
 	})
+	go receive(s.Recv, d.frames)
 	return d
 }
 
+func receive[R any](recv func() (R, error), frames chan R) {
+	defer close(frames)
+	for {
+		m, err := recv()
+		if err != nil {
+			return
+		}
+		frames <- m
+	}
+}
+
+func (r *rig) decode(res *wire.Reserve) *decodeStream {
+	return dialDecode(r.t, r.client, testAddr, res)
+}
+
 func (d *decodeStream) send(m *wire.DecodeRequest) {
 	d.t.Helper()
 	if err := d.Send(m); err != nil {
@@ -120,15 +141,12 @@
 // until reads frames up to the first one that match accepts. It returns nil
 // when the stream ends before.
 func (d *decodeStream) until(match func(*wire.DecodeReply) bool) *wire.DecodeReply {
-	for {
-		m, err := d.Recv()
-		if err != nil {
-			return nil
-		}
+	for m := range d.frames {
 		if match(m) {
 			return m
 		}
 	}
+	return nil
 }
 
 func isGranted(m *wire.DecodeReply) bool  { return m.GetGranted() != nil }
@@ -142,25 +160,30 @@
 // prefillStream is an entry's end of a prefill stream.
 type prefillStream struct {
 	*wire.Stream[*wire.PrefillRequest, *wire.PrefillReply]
-	t *testing.T
+	t      *testing.T
+	frames chan *wire.PrefillReply
 }
 
-func (r *rig) prefill(p *wire.Prefill) *prefillStream {
-	r.t.Helper()
-	s, err := wire.Dial[*wire.PrefillRequest](context.Background(), r.client, "http://"+testAddr+"/stream/prefill", testSecret,
+func dialPrefill(t *testing.T, hc *http.Client, addr string, m *wire.Prefill) *prefillStream {
+	t.Helper()
+	s, err := wire.Dial[*wire.PrefillRequest](context.Background(), hc, "http://"+addr+"/stream/prefill", testSecret,
 		func() *wire.PrefillReply { return new(wire.PrefillReply) })
 	if err != nil {
-		r.t.Fatal(err)
+		t.Fatal(err)
 	}
-	if err := s.Send(&wire.PrefillRequest{Body: &wire.PrefillRequest_Prefill{Prefill: p}}); err != nil {
-		r.t.Fatal(err)
+	if err := s.Send(&wire.PrefillRequest{Body: &wire.PrefillRequest_Prefill{Prefill: m}}); err != nil {
+		t.Fatal(err)
 	}
 	go s.Heartbeat(func() *wire.PrefillRequest {
 		return &wire.PrefillRequest{Body: &wire.PrefillRequest_Renew{Renew: &wire.Renew{}}}
 	})
-	return &prefillStream{Stream: s, t: r.t}
+	p := &prefillStream{Stream: s, t: t, frames: make(chan *wire.PrefillReply, maxFrames)}
+	go receive(s.Recv, p.frames)
+	return p
 }
 
+func (r *rig) prefill(m *wire.Prefill) *prefillStream { return dialPrefill(r.t, r.client, testAddr, m) }
+
 func (p *prefillStream) cancel() {
 	if err := p.Send(&wire.PrefillRequest{Body: &wire.PrefillRequest_Cancel{Cancel: &wire.Cancel{}}}); err != nil {
 		p.t.Fatal(err)
@@ -168,15 +191,12 @@
 }
 
 func (p *prefillStream) until(match func(*wire.PrefillReply) bool) *wire.PrefillReply {
-	for {
-		m, err := p.Recv()
-		if err != nil {
-			return nil
-		}
+	for m := range p.frames {
 		if match(m) {
 			return m
 		}
 	}
+	return nil
 }
 
 func isStarted(m *wire.PrefillReply) bool { return m.GetStarted() != nil }
--- a/internal/sidecar/reservation.go
+++ b/internal/sidecar/reservation.go
@@ -45,6 +45,7 @@
 	state    reservationState
 	wantsRun bool // Start arrived while the reservation was anticipated
 	wants    int  // chunks to add as soon as some are free
+	pausing  bool // chosen to free its memory
 	seq      uint64
 	granted  time.Duration
 	firmAt   time.Duration
@@ -213,7 +214,7 @@
 func (r *Reservations) Advance(now time.Duration, x *Reservation, tokens, ahead int) (victim *Reservation) {
 	x.Predicted -= tokens - x.Tokens
 	x.Tokens = tokens
-	if r.Need(tokens+ahead) <= x.Chunks+x.wants {
+	if x.pausing || r.Need(tokens+ahead) <= x.Chunks+x.wants {
 		return nil
 	}
 	r.enlarge(x, 1)
@@ -238,15 +239,26 @@
 }
 
 // pause chooses the most recently granted stream of the caller furthest over
-// its share, but never the only stream.
+// its share, but never the only stream, and nobody while those that are being
+// paused free enough for all that grow.
 func (r *Reservations) pause() *Reservation {
-	if r.count(started) < 2 {
-		return nil
+	wanted, coming, left := 0, 0, 0
+	for _, x := range r.list {
+		wanted += x.wants
+		switch {
+		case x.pausing:
+			coming += x.Chunks
+		case x.state == started:
+			left++
+		}
 	}
-	y := r.furthestOver(func(y *Reservation) bool { return y.state == started })
-	if y != nil {
-		r.Preemptions++
+	if coming >= wanted || left < 2 {
+		return nil
 	}
+	y := r.furthestOver(func(y *Reservation) bool { return y.state == started && !y.pausing })
+	y.pausing = true
+	y.wants = 0
+	r.Preemptions++
 	return y
 }
 
