--- a/internal/config/aggregate.go
+++ b/internal/config/aggregate.go
@@ -1,11 +1,8 @@
 package config
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
-
-	"github.com/go-faster/errors"
 )
 
 // Record remembers an accepted ticket.
@@ -113,7 +110,9 @@
 }
 
 // usedBefore looks for an earlier ticket with the same number: first in the
-// recent records, and for older tickets in the objects that it set.
+// recent records, and for older tickets in the objects that it set. Of a ticket
+// whose record is gone only the objects still in force are known, so a ticket
+// that sets exactly these again counts as the same; it has no effect either way.
 func (c *Configuration) usedBefore(t *Ticket) (record Record, used bool, refusal *Refusal) {
 	if record, ok := c.records[t.Number]; ok {
 		if record.Content != t.Content() {
@@ -176,47 +175,3 @@
 	}
 	return next
 }
-
-// SnapshotOf builds the snapshot of stored objects.
-func SnapshotOf(revision uint64, objects []Object) (*Snapshot, error) {
-	content, err := decodeObjects(objects)
-	if err != nil {
-		return nil, err
-	}
-	return Build(revision, content), nil
-}
-
-func decodeObjects(objects []Object) (Objects, error) {
-	var content Objects
-	for _, o := range objects {
-		if o.Deleted {
-			continue
-		}
-		spec, known := newSpec(o.Kind, o.Name)
-		if !known {
-			return Objects{}, errors.Errorf("object %s has an unknown kind; upgrade this process", o.Ref)
-		}
-		if err := json.Unmarshal(o.Spec, spec); err != nil {
-			return Objects{}, errors.Wrapf(err, "decode %s", o.Ref)
-		}
-		content.add(spec)
-	}
-	return content, nil
-}
-
-func (o *Objects) add(spec any) {
-	switch s := spec.(type) {
-	case *Pool:
-		o.Pools = append(o.Pools, s)
-	case *Upstream:
-		o.Upstreams = append(o.Upstreams, s)
-	case *Model:
-		o.Models = append(o.Models, s)
-	case *Route:
-		o.Routes = append(o.Routes, s)
-	case *Caller:
-		o.Callers = append(o.Callers, s)
-	case *Policy:
-		o.Policy = s
-	}
-}
