--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,178 @@
+// Package bench measures the decision packages under internal/policy with a
+// discrete-event driver: fixed one-way delays, rate-limited links and the cost
+// model of the stand-in engine are all there is. The driver contains no
+// decisions of its own; entries know only the hints on replies and what they sent.
+package bench
+
+import (
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// The policies.
+const (
+	Fescueslip  = "fescueslip"
+	RandomFCFS  = "random-fcfs"
+	LeastLoaded = "least-loaded"
+)
+
+// The faults.
+const (
+	FaultNone   = "none"
+	FaultCrash  = "crash"
+	FaultStall  = "stall"
+	FaultCancel = "cancel"
+	FaultMixed  = "mixed"
+)
+
+// DefaultDuration is the length of the arrivals when none is given.
+const DefaultDuration = 120 * time.Second
+
+// ProfileAnticipation selects the profile's own anticipation.
+const ProfileAnticipation = -1
+
+// Config selects a run.
+type Config struct {
+	// Profile is huronbay or consortium.
+	Profile string
+	// Load is the demand as a multiple of the capacity that the upper bound gives.
+	Load float64
+	// Policy is fescueslip, random-fcfs or least-loaded.
+	Policy string
+	Seed   uint64
+	// Fault is none, crash, stall, cancel or mixed; empty means none.
+	Fault string
+	// Anticipation overrides the profile's setting unless it is negative.
+	Anticipation float64
+	// Duration is the time during which requests arrive; 0 means DefaultDuration.
+	Duration time.Duration
+	// SettingsOf names the profile whose settings (anticipation, queue limit,
+	// prediction) apply instead of the profile's own. The targets stay.
+	SettingsOf string
+}
+
+// Result is what a run measured. Ratios are parts of 1; times are milliseconds.
+type Result struct {
+	Offered              int     `json:"offered"`
+	Finished             int     `json:"finished"`
+	RefusedNotRun        int     `json:"refused_not_run"`
+	GoodputRatio         float64 `json:"goodput_ratio"`
+	WastedPrefillRatio   float64 `json:"wasted_prefill_ratio"`
+	TTFTP50ms            float64 `json:"ttft_p50_ms"`
+	TTFTP95ms            float64 `json:"ttft_p95_ms"`
+	TPOTP95ms            float64 `json:"tpot_p95_ms"`
+	FairnessMaxOverMin   float64 `json:"fairness_max_over_min"`
+	QuietCallerTTFTRatio float64 `json:"quiet_caller_ttft_ratio"`
+	LookupP95ms          float64 `json:"lookup_p95_ms"`
+	LeakedTokens         int     `json:"leaked_tokens"`
+	DuplicateRuns        int     `json:"duplicate_runs"`
+	UpperBoundGoodput    float64 `json:"upper_bound_goodput_ratio"`
+
+	// IdleLookupP95ms is the lookups' p95 while the models are idle.
+	IdleLookupP95ms float64 `json:"-"`
+}
+
+// Run performs one run. The same Config gives the same Result.
+func Run(cfg Config) (Result, error) {
+	p, err := cfg.check()
+	if err != nil {
+		return Result{}, err
+	}
+	cancels := cancelFraction + cancelledByFrac*faultPart(cfg.Fault, FaultCancel)
+	load := arrivals(p, cfg, cancels)
+	bound := upperBound(p, load.requests)
+	main := simulate(p, cfg, load)
+	alone := simulate(p, cfg, arrivals(p, cfg, cancels).only(quietCaller))
+	res := main.result()
+	res.UpperBoundGoodput = bound
+	res.QuietCallerTTFTRatio = ratio(ms(main.callerTTFT(quietCaller)), ms(alone.callerTTFT(quietCaller)))
+	res.IdleLookupP95ms = ms(quantile(alone.lookups, 0.95))
+	return res, nil
+}
+
+// sampleDuration is the length of the sample from which the capacity is derived.
+const sampleDuration = 10 * time.Minute
+
+// arrivals draws the workload at a rate relative to the capacity for its mix.
+func arrivals(p profile, cfg Config, cancels float64) *workload {
+	sample := cfg
+	sample.Duration = sampleDuration
+	rate := capacity(p, newWorkload(p, sample, 20, 0).requests)
+	return newWorkload(p, cfg, rate, cancels)
+}
+
+// only keeps the requests of one caller.
+func (w *workload) only(caller int) *workload {
+	kept := &workload{callers: w.callers, lookups: w.lookups}
+	for _, r := range w.requests {
+		if r.caller.index == caller {
+			kept.requests = append(kept.requests, r)
+		}
+	}
+	return kept
+}
+
+func simulate(p profile, cfg Config, load *workload) *metrics {
+	w := newWorld(p, cfg, load)
+	w.simulate()
+	return w.m
+}
+
+func (cfg *Config) check() (profile, error) {
+	p, ok := profileOf(cfg.Profile)
+	if !ok {
+		return p, errors.Errorf("unknown profile %q; use huronbay or consortium", cfg.Profile)
+	}
+	if cfg.Fault == "" {
+		cfg.Fault = FaultNone
+	}
+	if cfg.Duration == 0 {
+		cfg.Duration = DefaultDuration
+	}
+	if err := oneOf("policy", cfg.Policy, Policies()); err != nil {
+		return p, err
+	}
+	if err := oneOf("fault", cfg.Fault, []string{FaultNone, FaultCrash, FaultStall, FaultCancel, FaultMixed}); err != nil {
+		return p, err
+	}
+	if cfg.Load <= 0 || cfg.Load > 3 {
+		return p, errors.Errorf("load %v is out of range; use a value above 0 and at most 3", cfg.Load)
+	}
+	if cfg.Duration < 10*time.Second || cfg.Anticipation > 1 {
+		return p, errors.New("the duration must be at least 10s and the anticipation at most 1")
+	}
+	if other, ok := profileOf(cfg.SettingsOf); ok {
+		p.settings.anticipation = other.settings.anticipation
+		p.settings.queueLimit = other.settings.queueLimit
+		p.settings.quantile = other.settings.quantile
+	}
+	if cfg.Anticipation >= 0 {
+		p.settings.anticipation = cfg.Anticipation
+	}
+	return p, nil
+}
+
+// Policies returns the names of the policies.
+func Policies() []string { return []string{Fescueslip, RandomFCFS, LeastLoaded} }
+
+func oneOf(what, value string, allowed []string) error {
+	for _, a := range allowed {
+		if a == value {
+			return nil
+		}
+	}
+	return errors.Errorf("unknown %s %q; use one of %s", what, value, strings.Join(allowed, ", "))
+}
+
+func profileOf(name string) (profile, bool) {
+	switch name {
+	case "huronbay":
+		return huronbay(), true
+	case "consortium":
+		return consortium(), true
+	default:
+		return profile{}, false
+	}
+}
--- /dev/null
+++ b/internal/bench/sweep.go
@@ -0,0 +1,222 @@
+package bench
+
+import (
+	"encoding/csv"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// SweepConfig selects a sweep. Base gives profile, fault, first seed and duration.
+type SweepConfig struct {
+	Base Config
+	// Seeds is the number of seeds per point; the points are means.
+	Seeds int
+	// Dir receives the files; it is created when missing.
+	Dir string
+}
+
+// point is one mean over the seeds.
+type point struct {
+	policy             string
+	load, anticipation float64
+	mean               Result
+}
+
+// Sweep writes goodput and waste against load for all policies and the curve of
+// the anticipation setting, as CSV and PNG.
+func Sweep(cfg SweepConfig) error {
+	if cfg.Dir == "" {
+		return errors.New("no directory for the curves; set -out")
+	}
+	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+		return errors.Wrap(err, "create directory")
+	}
+	loads, err := cfg.overLoads()
+	if err != nil {
+		return err
+	}
+	knob, err := cfg.overAnticipation()
+	if err != nil {
+		return err
+	}
+	if err := cfg.writeCSV("load.csv", loads); err != nil {
+		return err
+	}
+	if err := cfg.writeCSV("anticipation.csv", knob); err != nil {
+		return err
+	}
+	return cfg.plots(loads, knob)
+}
+
+func (cfg SweepConfig) overLoads() ([]point, error) {
+	var points []point
+	for _, policy := range Policies() {
+		for load := 5; load <= 15; load++ {
+			run := cfg.Base
+			run.Policy, run.Load = policy, float64(load)/10
+			p, err := cfg.mean(run)
+			if err != nil {
+				return nil, err
+			}
+			points = append(points, p)
+		}
+	}
+	return points, nil
+}
+
+func (cfg SweepConfig) overAnticipation() ([]point, error) {
+	var points []point
+	for i := range 9 {
+		run := cfg.Base
+		run.Policy, run.Anticipation = Fescueslip, float64(i)/8
+		p, err := cfg.mean(run)
+		if err != nil {
+			return nil, err
+		}
+		points = append(points, p)
+	}
+	return points, nil
+}
+
+func (cfg SweepConfig) mean(run Config) (point, error) {
+	var results []Result
+	first := run.Seed
+	for i := range max(1, cfg.Seeds) {
+		run.Seed = first + uint64(i)
+		res, err := Run(run)
+		if err != nil {
+			return point{}, err
+		}
+		results = append(results, res)
+	}
+	return point{policy: run.Policy, load: run.Load, anticipation: run.Anticipation, mean: Mean(results)}, nil
+}
+
+// Mean returns the mean of each figure; counts are rounded down.
+func Mean(results []Result) Result {
+	var m Result
+	n := float64(len(results))
+	for _, r := range results {
+		m.Offered += r.Offered
+		m.Finished += r.Finished
+		m.RefusedNotRun += r.RefusedNotRun
+		m.LeakedTokens += r.LeakedTokens
+		m.DuplicateRuns += r.DuplicateRuns
+		m.GoodputRatio += r.GoodputRatio / n
+		m.WastedPrefillRatio += r.WastedPrefillRatio / n
+		m.TTFTP50ms += r.TTFTP50ms / n
+		m.TTFTP95ms += r.TTFTP95ms / n
+		m.TPOTP95ms += r.TPOTP95ms / n
+		m.FairnessMaxOverMin += r.FairnessMaxOverMin / n
+		m.QuietCallerTTFTRatio += r.QuietCallerTTFTRatio / n
+		m.LookupP95ms += r.LookupP95ms / n
+		m.IdleLookupP95ms += r.IdleLookupP95ms / n
+		m.UpperBoundGoodput += r.UpperBoundGoodput / n
+	}
+	for _, count := range []*int{&m.Offered, &m.Finished, &m.RefusedNotRun, &m.LeakedTokens, &m.DuplicateRuns} {
+		*count /= max(1, len(results))
+	}
+	return m
+}
+
+func (cfg SweepConfig) writeCSV(name string, points []point) (err error) {
+	f, err := os.Create(filepath.Join(cfg.Dir, name))
+	if err != nil {
+		return errors.Wrap(err, "create CSV")
+	}
+	defer func() {
+		if cerr := f.Close(); err == nil {
+			err = cerr
+		}
+	}()
+	w := csv.NewWriter(f)
+	_ = w.Write([]string{"policy", "load", "anticipation", "goodput_ratio", "upper_bound_goodput_ratio",
+		"wasted_prefill_ratio", "ttft_p95_ms", "fairness_max_over_min", "quiet_caller_ttft_ratio"})
+	for _, p := range points {
+		row := []string{p.policy}
+		m := p.mean
+		for _, v := range []float64{p.load, p.anticipation, m.GoodputRatio, m.UpperBoundGoodput,
+			m.WastedPrefillRatio, m.TTFTP95ms, m.FairnessMaxOverMin, m.QuietCallerTTFTRatio} {
+			row = append(row, strconv.FormatFloat(v, 'f', 5, 64))
+		}
+		_ = w.Write(row)
+	}
+	w.Flush()
+	return w.Error()
+}
+
+func (cfg SweepConfig) plots(loads, knob []point) error {
+	goodput := func(r Result) float64 { return r.GoodputRatio }
+	waste := func(r Result) float64 { return r.WastedPrefillRatio }
+	if err := cfg.plotLoads("goodput.png", "goodput ratio", loads, goodput, true); err != nil {
+		return err
+	}
+	if err := cfg.plotLoads("waste.png", "wasted prefill ratio", loads, waste, false); err != nil {
+		return err
+	}
+	return cfg.plotKnob(knob)
+}
+
+func (cfg SweepConfig) plotLoads(file, label string, points []point, value func(Result) float64, bound bool) error {
+	pl := plot.New()
+	pl.Title.Text = fmt.Sprintf("%s, fault %s", cfg.Base.Profile, cfg.Base.Fault)
+	pl.X.Label.Text, pl.Y.Label.Text = "load", label
+	pl.Y.Min = 0
+	pl.Legend.Top = true
+	var lines []any
+	for _, policy := range Policies() {
+		lines = append(lines, policy, xys(points, policy, value))
+	}
+	if bound {
+		lines = append(lines, "upper bound", xys(points, Fescueslip, func(r Result) float64 { return r.UpperBoundGoodput }))
+	}
+	if err := plotutil.AddLinePoints(pl, lines...); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(cfg.Dir, file)), "save plot")
+}
+
+func xys(points []point, policy string, value func(Result) float64) plotter.XYs {
+	var list plotter.XYs
+	for _, p := range points {
+		if p.policy == policy {
+			list = append(list, plotter.XY{X: p.load, Y: value(p.mean)})
+		}
+	}
+	return list
+}
+
+// plotKnob draws goodput against waste; each point is one anticipation.
+func (cfg SweepConfig) plotKnob(points []point) error {
+	pl := plot.New()
+	pl.Title.Text = fmt.Sprintf("%s, load %.1f, fault %s: anticipation 0 to 1", cfg.Base.Profile, cfg.Base.Load, cfg.Base.Fault)
+	pl.X.Label.Text, pl.Y.Label.Text = "wasted prefill ratio", "goodput ratio"
+	var list plotter.XYs
+	var names []string
+	for _, p := range points {
+		list = append(list, plotter.XY{X: p.mean.WastedPrefillRatio, Y: p.mean.GoodputRatio})
+		names = append(names, strconv.FormatFloat(p.anticipation, 'g', 3, 64))
+	}
+	if err := plotutil.AddLinePoints(pl, list); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: list, Labels: names})
+	if err != nil {
+		return errors.Wrap(err, "label")
+	}
+	pl.Add(labels)
+	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(cfg.Dir, "anticipation.png")), "save plot")
+}
--- a/internal/policy/choose/cache.go
+++ b/internal/policy/choose/cache.go
@@ -7,7 +7,7 @@
 )
 
 // BlockTokens is the number of tokens per block of a prompt.
-const BlockTokens = 256
+const BlockTokens = 128
 
 // DefaultMaxPrefixes bounds the prefixes that are remembered per upstream.
 const DefaultMaxPrefixes = 4096
@@ -29,13 +29,14 @@
 
 // PrefixHashes returns one hash per full block of the prompt's words; each hash
 // covers the prompt up to the end of its block, so equal hashes mean equal
-// prefixes.
+// prefixes. It is the xxhash64 of the words, each followed by one space, as in
+// the identifiers of the engines' cache events.
 func PrefixHashes(words []string) []uint64 {
 	hashes := make([]uint64, 0, len(words)/BlockTokens)
 	d := xxhash.New()
 	for i, w := range words {
 		_, _ = d.WriteString(w)
-		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(" ")
 		if (i+1)%BlockTokens == 0 {
 			hashes = append(hashes, d.Sum64())
 		}
@@ -79,7 +80,8 @@
 	}
 }
 
-// Prefilled records that the upstream has just computed a prompt.
+// Prefilled records that the upstream has just computed a prompt and
+// therefore holds it in its cache.
 func (c *CacheIndex) Prefilled(upstream string, hashes []uint64) {
 	for _, h := range hashes {
 		c.store(upstream, h)
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -18,7 +18,7 @@
 	// affinityBlocks is the number of leading blocks that select the preferred
 	// prefill upstream. More blocks would scatter prompts that share only a
 	// system prompt over different caches.
-	affinityBlocks = 2
+	affinityBlocks = 4
 	// DefaultAffinity bounds the additional estimated wait that the preferred
 	// prefill upstream may have, as a fraction of the prefill time that a
 	// complete cache hit saves.
--- a/internal/policy/fairqueue/order.go
+++ b/internal/policy/fairqueue/order.go
@@ -113,6 +113,7 @@
 	if !ok {
 		c = &caller{name: name, share: 1, virtual: q.lowest(), reports: map[string]report{}}
 		q.callers[name] = c
+		q.known = append(q.known, c)
 	}
 	return c
 }
@@ -173,11 +174,13 @@
 		return
 	}
 	q.swept = now
-	for name, c := range q.callers {
-		if len(c.items) == 0 && now-c.idleAt >= forgetAfter {
-			delete(q.callers, name)
+	q.known = slices.DeleteFunc(q.known, func(c *caller) bool {
+		forget := len(c.items) == 0 && now-c.idleAt >= forgetAfter
+		if forget {
+			delete(q.callers, c.name)
 		}
-	}
+		return forget
+	})
 }
 
 func decay(d time.Duration) float64 {
--- a/internal/policy/fairqueue/queue.go
+++ b/internal/policy/fairqueue/queue.go
@@ -72,6 +72,7 @@
 	cost    float64
 	idleAt  time.Duration
 	reports map[string]report
+	served  Usage
 }
 
 // Queue is a weighted fair queue. Use New.
@@ -80,7 +81,8 @@
 	Slack float64
 
 	callers  map[string]*caller
-	active   []*caller
+	known    []*caller // all callers, in order of their first item
+	active   []*caller // those with items
 	virtual  float64
 	cost     float64
 	meanCost float64
@@ -140,6 +142,7 @@
 		if it != nil {
 			q.virtual = max(q.virtual, floor)
 			c.virtual += it.Cost / c.share
+			c.served.Add(now, it.Cost)
 			q.take(c, it)
 			return it
 		}
@@ -167,9 +170,31 @@
 func (q *Queue) Charge(name string, delta float64) {
 	if c, ok := q.callers[name]; ok {
 		c.virtual += delta / c.share
+		c.served.Add(q.now, delta)
 	}
 }
 
+// OverShare returns the recent service of a caller here, relative to its share
+// of what all recently active callers were served; 1 is exactly its share.
+func (q *Queue) OverShare(now time.Duration, name string) float64 {
+	var served, shares, own float64
+	for _, c := range q.known {
+		u := c.served.At(now)
+		if u < 1 && len(c.items) == 0 {
+			continue
+		}
+		served += u
+		shares += c.share
+		if c.name == name {
+			own = u / c.share
+		}
+	}
+	if served == 0 {
+		return 0
+	}
+	return own * shares / served
+}
+
 // Wait estimates the time until an additional item with this cost is done when
 // the queue is served at rate cost tokens per second.
 func (q *Queue) Wait(cost, rate float64) time.Duration {
