Order by recent service system-wide; wait at more upstreams; refuse overdue

Three causes were found by trace. A caller that waits at two of five decode servers lost against a flood that waits at all: the queue now compares decayed usage, reported usage elsewhere included, instead of local virtual time, and a request that waits for 50 ms asks further servers. Long prompts never accumulated room: callers beyond the slack no longer overtake them. Late requests took the place of those on time: a request that waited for longer than the queue limit is refused as not run.

--- a/internal/bench/decode.go
+++ b/internal/bench/decode.go
@@ -29,7 +29,8 @@
 	item      *fairqueue.Item
 	state     legState
 	chunks    int
-	predicted int // output tokens of the complete answer
+	predicted int     // output tokens of the complete answer
+	cost      float64 // charged at the grant
 	prefill   time.Duration
 	deadline  time.Duration
 	startsAt  time.Duration
@@ -102,7 +103,7 @@
 		s.refuse(l, true, 0)
 		return
 	}
-	cost := l.req.cost(l.predicted)
+	cost := l.cost
 	l.item = &fairqueue.Item{
 		Caller: l.req.caller.name, Source: l.entry.name, Share: l.req.caller.share, Cost: cost,
 		Usage: usage, Deadline: l.deadline, MaxYield: s.w.p.settings.maxYield, Value: l,
@@ -112,6 +113,9 @@
 		return
 	}
 	s.queue.Push(s.w.now, l.item)
+	if l.req.delivered == 0 {
+		s.w.at(l.req.arrival+s.w.p.settings.queueLimit, func() { s.overdue(l) })
+	}
 	s.grant()
 }
 
@@ -126,10 +130,19 @@
 		Work:           l.prefill,
 		Target:         s.w.p.settings.ttft,
 		QueueLimit:     s.w.p.settings.queueLimit,
-		UsageOverShare: s.queue.OverShare(s.w.now, l.req.caller.name),
+		UsageOverShare: 0,
 	})
 }
 
+// overdue refuses a leg that has waited for longer than the limit.
+func (s *decodeServer) overdue(l *leg) {
+	if l.state != legQueued {
+		return
+	}
+	s.end(l)
+	s.refuse(l, false, 0)
+}
+
 func (s *decodeServer) refuse(l *leg, down bool, retryAfter time.Duration) {
 	l.state = legEnded
 	s.w.reply(s.domain, l.entry, s.name, s.hint(), func() { l.entry.refused(l, down, retryAfter) })
@@ -314,7 +327,7 @@
 	if r.delivered >= r.output {
 		s.end(l)
 		s.predictor.Observe(r.caller.name, modelName, r.output)
-		s.queue.Charge(r.caller.name, r.cost(r.output)-r.cost(l.predicted))
+		s.queue.Charge(r.caller.name, r.cost(r.output)-l.cost)
 		s.w.reply(s.domain, l.entry, s.name, s.hint(), func() { l.entry.done(l) })
 		return true
 	}
--- a/internal/bench/decode_end.go
+++ b/internal/bench/decode_end.go
@@ -28,6 +28,7 @@
 		l.job.srv.drop(l.job)
 	case legRunning:
 		s.free(l)
+		l.req.decoding--
 		s.running = slices.DeleteFunc(s.running, same)
 		s.joining = slices.DeleteFunc(s.joining, same)
 	}
@@ -41,7 +42,7 @@
 		return
 	}
 	if unused := l.state == legGranted || l.state == legReady || l.state == legImporting; unused {
-		s.queue.Charge(l.req.caller.name, -l.req.cost(l.predicted))
+		s.queue.Charge(l.req.caller.name, -l.cost)
 	}
 	s.end(l)
 	s.admitReady()
@@ -57,7 +58,7 @@
 	var victim *leg
 	lead := 0.0
 	for _, l := range s.running {
-		x := s.queue.Lead(l.req.caller.name)
+		x := s.queue.OverShare(s.w.now, l.req.caller.name)
 		if victim == nil || x > lead || x == lead && l.grantedAt >= victim.grantedAt {
 			victim, lead = l, x
 		}
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/policy/choose"
@@ -18,6 +19,8 @@
 	// deadlineMargin is left between the latest grant and the first-token target.
 	deadlineMargin = 60 * time.Millisecond
 	retryDelay     = 20 * time.Millisecond
+	// escalateAfter is the wait after which an entry asks further servers.
+	escalateAfter = 50 * time.Millisecond
 )
 
 // hint is what a server's reply tells of its load.
@@ -60,6 +63,7 @@
 	useful    int // computed tokens of the prefill in use
 	decoding  int
 	waits     bool
+	refusedBy []*decodeServer
 }
 
 type outcome int
@@ -160,6 +164,9 @@
 	need := choose.DecodeNeed{Chunks: reserve.Chunks(r.prompt + r.predicted), Domain: e.domain}
 	first, second := choose.DecodeUpstreams(candidates, need, e.rnd)
 	if first < 0 {
+		if len(r.legs) > 0 {
+			return
+		}
 		e.again(r, "", func() { e.open(r) })
 		return
 	}
@@ -169,10 +176,18 @@
 			e.reserve(r, servers[i], need.Chunks, prefill)
 		}
 	}
+	e.w.after(escalateAfter, func() { e.escalate(r) })
+}
+
+// escalate opens further streams for a request that waits.
+func (e *entry) escalate(r *request) {
+	if r.outcome == open && r.leg == nil && len(r.legs) > 0 && len(r.legs) < len(e.w.decodes) {
+		e.open(r)
+	}
 }
 
 func (e *entry) reserve(r *request, s *decodeServer, chunks int, prefill time.Duration) {
-	l := &leg{req: r, entry: e, srv: s, chunks: chunks, predicted: r.predicted, prefill: prefill}
+	l := &leg{req: r, entry: e, srv: s, chunks: chunks, predicted: r.predicted, prefill: prefill, cost: r.cost(r.predicted)}
 	l.deadline = r.arrival + e.w.p.settings.ttft - prefill - deadlineMargin
 	if r.delivered > 0 {
 		l.deadline = e.w.now + e.w.p.settings.ttft
@@ -189,7 +204,7 @@
 	var list []choose.Decode
 	var servers []*decodeServer
 	for _, s := range e.w.decodes {
-		if e.isDown(s.name) {
+		if e.isDown(s.name) || r.asked(s) {
 			continue
 		}
 		k := e.known[s.name]
@@ -222,16 +237,25 @@
 	return candidates[i].Wait + work + transfer + 4*e.w.p.oneWay
 }
 
+func (r *request) asked(s *decodeServer) bool {
+	if slices.Contains(r.refusedBy, s) {
+		return true
+	}
+	return slices.ContainsFunc(r.legs, func(l *leg) bool { return l.srv == s })
+}
+
 func (r *request) tokens() int { return r.prompt + r.delivered }
 
 // refused handles a reply that the leg did not run.
 func (e *entry) refused(l *leg, down bool, _ time.Duration) {
 	r := l.req
 	r.dropLeg(l)
+	r.refusedBy = append(r.refusedBy, l.srv)
 	if r.outcome != open || r.leg != nil || len(r.legs) > 0 {
 		return
 	}
 	if down {
+		r.refusedBy = nil
 		e.again(r, l.srv.name, func() { e.open(r) })
 		return
 	}
@@ -260,7 +284,7 @@
 		e.cancelLeg(other)
 	}
 	r.legs = nil
-	e.served(r.caller.name, l.srv.name, r.cost(l.predicted))
+	e.served(r.caller.name, l.srv.name, l.cost)
 	e.w.m.wait(r, false)
 	e.prefill(r)
 }
@@ -305,6 +329,7 @@
 		return
 	}
 	r.leg = nil
+	r.refusedBy = nil
 	if r.job != nil {
 		e.cancelJob(r.job)
 		r.job = nil
@@ -346,7 +371,7 @@
 		return
 	}
 	e.predictor.Observe(r.caller.name, modelName, r.output)
-	e.served(r.caller.name, l.srv.name, r.cost(r.output)-r.cost(l.predicted))
+	e.served(r.caller.name, l.srv.name, r.cost(r.output)-l.cost)
 	e.finish(r, finished)
 }
 
--- a/internal/bench/metrics.go
+++ b/internal/bench/metrics.go
@@ -62,9 +62,11 @@
 	m.serve(r, outputWeight, now)
 }
 
-// decoding notes a second stream of the same request at the same time.
+// decoding notes a second stream of the same request at the same time, or one
+// after its end.
 func (m *metrics) decoding(r *request) {
-	if r.leg == nil || r.delivered > r.output {
+	r.decoding++
+	if r.decoding > 1 || r.delivered >= r.output {
 		m.duplicates++
 	}
 }
--- a/internal/policy/fairqueue/order.go
+++ b/internal/policy/fairqueue/order.go
@@ -37,7 +37,7 @@
 func (q *Queue) best(now time.Duration, limit float64, fits func(*Item) bool) (owner *caller, it *Item, blocked bool) {
 	found := none
 	for _, c := range q.active {
-		if c.virtual > limit {
+		if c.level > limit {
 			continue
 		}
 		cand, k, wait := c.first(now, fits)
@@ -51,10 +51,10 @@
 	return owner, it, false
 }
 
-// before orders callers of equal class by virtual time, then by arrival.
+// before orders callers of equal class by service per share, then by arrival.
 func (c *caller) before(other *caller) bool {
-	if c.virtual != other.virtual {
-		return c.virtual < other.virtual
+	if c.level != other.level {
+		return c.level < other.level
 	}
 	return c.items[0].seq < other.items[0].seq
 }
@@ -90,19 +90,22 @@
 	return q.Slack * q.meanCost * float64(len(q.active)) / total
 }
 
-func (q *Queue) lowest() float64 {
-	lowest := q.lowestAbove(math.Inf(-1))
-	if math.IsInf(lowest, 1) {
-		return q.virtual
+// measure computes the service per share of the waiting callers.
+func (q *Queue) measure(now time.Duration) {
+	for _, c := range q.active {
+		c.level = c.total(now) / c.share
 	}
-	return lowest
+}
+
+func (c *caller) total(now time.Duration) float64 {
+	return c.served.At(now) + c.elsewhere.At(now)
 }
 
 func (q *Queue) lowestAbove(limit float64) float64 {
 	lowest := math.Inf(1)
 	for _, c := range q.active {
-		if c.virtual > limit {
-			lowest = min(lowest, c.virtual)
+		if c.level > limit {
+			lowest = min(lowest, c.level)
 		}
 	}
 	return lowest
@@ -111,31 +114,18 @@
 func (q *Queue) caller(name string) *caller {
 	c, ok := q.callers[name]
 	if !ok {
-		c = &caller{name: name, share: 1, virtual: q.lowest(), reports: map[string]report{}}
+		c = &caller{name: name, share: 1, reports: map[string]Usage{}}
 		q.callers[name] = c
 		q.known = append(q.known, c)
 	}
 	return c
 }
 
-// activate starts a caller that had no items at the queue's virtual time; what
-// it was served beyond that decays with UsageTau.
-func (q *Queue) activate(now time.Duration, c *caller) {
-	floor := max(q.virtual, q.lowest())
-	lead := max(0, c.virtual-floor) * decay(now-c.idleAt)
-	c.virtual = floor + lead
-	q.active = append(q.active, c)
-}
-
-// servedElsewhere returns the service since the last report of the same source.
-// The first report only sets the base.
-func (c *caller) servedElsewhere(now time.Duration, it *Item) float64 {
-	last, known := c.reports[it.Source]
-	c.reports[it.Source] = report{usage: it.Usage, at: now}
-	if !known {
-		return 0
-	}
-	return max(0, it.Usage-last.usage*decay(now-last.at))
+// report replaces what the item's source reported earlier.
+func (c *caller) report(now time.Duration, it *Item) {
+	old := c.reports[it.Source]
+	c.elsewhere.Add(now, it.Usage-old.At(now))
+	c.reports[it.Source] = Usage{sum: it.Usage, at: now}
 }
 
 func (q *Queue) take(c *caller, it *Item) bool {
--- a/internal/policy/fairqueue/queue.go
+++ b/internal/policy/fairqueue/queue.go
@@ -1,14 +1,14 @@
 // Package fairqueue orders waiting requests by weighted fair queueing in cost
 // tokens per caller.
 //
-// Each caller has a virtual time: the cost it was served divided by its share,
-// here and, as far as the reports tell, elsewhere. The caller with the lowest
-// virtual time goes first. A caller that was idle starts at the queue's virtual
-// time, so idleness earns no credit. Callers whose virtual times differ by less
-// than Slack count as equal; among those, items that can still meet their
-// deadline precede late ones, and items that yielded for MaxYield precede both.
-// Lateness and age therefore never let a caller exceed its share by more than
-// the slack.
+// The caller with the lowest recent service per share goes first. Recent
+// service is what the caller was served here and, as far as the reports tell,
+// elsewhere, decayed with UsageTau. A caller that waits at few upstreams is
+// therefore not at a disadvantage to one that floods all of them. Callers whose
+// service per share differs by less than Slack count as equal; among those,
+// items that can still meet their deadline precede late ones, and items that
+// yielded for MaxYield precede both. Lateness and age therefore never let a
+// caller exceed its share by more than the slack.
 //
 // A Queue is not safe for concurrent use. Times are durations since an
 // arbitrary start that is the same for all calls.
@@ -20,13 +20,12 @@
 )
 
 const (
-	// UsageTau is the time constant with which reported usage decays. Reporters
-	// must use it too, because the queue derives the service between two reports
-	// from their difference.
+	// UsageTau is the time constant with which usage decays, here and at the
+	// reporters.
 	UsageTau = 10 * time.Second
 	// DefaultSlack is the difference in served cost per unit of share, in units
 	// of the mean cost of an item, below which callers count as equal.
-	DefaultSlack = 1.0
+	DefaultSlack = 2.0
 	// meanWeight is the weight of a new item in the mean cost.
 	meanWeight = 0.02
 	// forgetAfter is how long an idle caller is remembered; its lead has decayed
@@ -59,31 +58,30 @@
 	seq    uint64
 }
 
-type report struct {
-	usage float64
-	at    time.Duration
-}
-
 type caller struct {
-	name    string
-	share   float64
-	virtual float64
-	items   []*Item
-	cost    float64
-	idleAt  time.Duration
-	reports map[string]report
-	served  Usage
+	name      string
+	share     float64
+	items     []*Item
+	cost      float64
+	idleAt    time.Duration
+	served    Usage            // here
+	elsewhere Usage            // sum of the reports
+	reports   map[string]Usage // by source
+	level     float64          // service per share at the time of the current Pop
 }
 
 // Queue is a weighted fair queue. Use New.
 type Queue struct {
 	// Slack overrides DefaultSlack; see the package comment.
 	Slack float64
+	// Backfill lets items of callers beyond the slack go first when nothing
+	// within it fits. It uses more of the engine at the price of fairness: room
+	// for a large item never accumulates.
+	Backfill bool
 
 	callers  map[string]*caller
 	known    []*caller // all callers, in order of their first item
 	active   []*caller // those with items
-	virtual  float64
 	cost     float64
 	meanCost float64
 	length   int
@@ -113,9 +111,9 @@
 	c := q.caller(it.Caller)
 	c.share = positive(it.Share)
 	if len(c.items) == 0 {
-		q.activate(now, c)
+		q.active = append(q.active, c)
 	}
-	c.virtual += c.servedElsewhere(now, it) / c.share
+	c.report(now, it)
 	q.seq++
 	it.seq = q.seq
 	it.queued = true
@@ -132,27 +130,22 @@
 // is not overtaken by small ones for ever.
 func (q *Queue) Pop(now time.Duration, fits func(*Item) bool) *Item {
 	q.now = now
-	floor := q.lowest()
-	limit := floor + q.slack()
-	for len(q.active) > 0 {
-		c, it, blocked := q.best(now, limit, fits)
-		if blocked {
-			return nil
-		}
-		if it != nil {
-			q.virtual = max(q.virtual, floor)
-			c.virtual += it.Cost / c.share
-			c.served.Add(now, it.Cost)
-			q.take(c, it)
-			return it
-		}
-		next := q.lowestAbove(limit)
-		if math.IsInf(next, 1) {
+	q.measure(now)
+	limit := q.lowestAbove(math.Inf(-1)) + q.slack()
+	c, it, blocked := q.best(now, limit, fits)
+	for it == nil && !blocked && q.Backfill {
+		limit = q.lowestAbove(limit)
+		if math.IsInf(limit, 1) {
 			return nil
 		}
-		limit = next + q.slack()
+		c, it, blocked = q.best(now, limit, fits)
 	}
-	return nil
+	if it == nil || blocked {
+		return nil
+	}
+	c.served.Add(now, it.Cost)
+	q.take(c, it)
+	return it
 }
 
 // Remove takes an item out without charging its caller. It reports whether the
@@ -169,17 +162,16 @@
 // delta is the real cost less the estimate.
 func (q *Queue) Charge(name string, delta float64) {
 	if c, ok := q.callers[name]; ok {
-		c.virtual += delta / c.share
 		c.served.Add(q.now, delta)
 	}
 }
 
-// OverShare returns the recent service of a caller here, relative to its share
-// of what all recently active callers were served; 1 is exactly its share.
+// OverShare returns the recent service of a caller relative to its share of
+// what all recently active callers were served; 1 is exactly its share.
 func (q *Queue) OverShare(now time.Duration, name string) float64 {
 	var served, shares, own float64
 	for _, c := range q.known {
-		u := c.served.At(now)
+		u := c.total(now)
 		if u < 1 && len(c.items) == 0 {
 			continue
 		}
@@ -225,16 +217,6 @@
 	}
 }
 
-// Lead returns how far the caller's service is ahead of the queue's virtual
-// time, in cost tokens. Positive means that it had more than its share.
-func (q *Queue) Lead(name string) float64 {
-	c, ok := q.callers[name]
-	if !ok {
-		return 0
-	}
-	return (c.virtual - max(q.virtual, q.lowest())) * c.share
-}
-
 func seconds(s float64) time.Duration {
 	const longest = float64(math.MaxInt64 / 2)
 	ns := s * float64(time.Second)
--- a/internal/policy/fairqueue/queue_test.go
+++ b/internal/policy/fairqueue/queue_test.go
@@ -96,7 +96,7 @@
 			push(it.Caller)
 		}
 		// Two items and the slack of the callers bound the difference.
-		bound := 2*biggest + q.slack() + biggest
+		bound := 3*biggest + q.slack()
 		for x, sx := range shares {
 			for y, sy := range shares {
 				if d := served[x]/sx - served[y]/sy; d > bound {
