--- a/internal/cli/ticket_test.go
+++ b/internal/cli/ticket_test.go
@@ -26,8 +26,8 @@
 	listAddress = "10.0.0.1:8501"
 )
 
-// bench runs commands against stand-ins in virtual time.
-type bench struct {
+// commandRig runs commands against stand-ins in virtual time.
+type commandRig struct {
 	t       *testing.T
 	network *memnet.Network
 	kv      *kvstore.Server
@@ -35,9 +35,9 @@
 	admins  []*http.Server
 }
 
-func withBench(t *testing.T, test func(t *testing.T, b *bench)) {
+func withCommands(t *testing.T, test func(t *testing.T, b *commandRig)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{t: t, network: memnet.New(time.Millisecond)}
+		b := &commandRig{t: t, network: memnet.New(time.Millisecond)}
 		kvListener, err := b.network.Listen(kvAddress)
 		if err != nil {
 			t.Fatal(err)
@@ -58,7 +58,7 @@
 }
 
 // process lists a process whose admin port answers with the revision.
-func (b *bench) process(name, admin string, revision uint64) {
+func (b *commandRig) process(name, admin string, revision uint64) {
 	b.list.Register(instances.Instance{Name: name, PeerAddress: "10.0.0.9:1", AdminAddress: admin})
 	listener, err := b.network.Listen(admin)
 	if err != nil {
@@ -74,7 +74,7 @@
 }
 
 // run runs a command line and returns what it printed and its exit code.
-func (b *bench) run(stdin string, args ...string) (string, subcommands.ExitStatus) {
+func (b *commandRig) run(stdin string, args ...string) (string, subcommands.ExitStatus) {
 	b.t.Helper()
 	var out bytes.Buffer
 	env := Env{Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &out, Dial: b.network.Dial}
@@ -96,7 +96,7 @@
 func TestTicketCommands(t *testing.T) {
 	const pool = "ticket: 17\nobjects:\n  - {kind: pool, name: a, spec: {role: service}}\n"
 	const kv, list = "http://" + kvAddress, "http://" + listAddress
-	withBench(t, func(t *testing.T, b *bench) {
+	withCommands(t, func(t *testing.T, b *commandRig) {
 		b.process("current", "10.0.0.2:1", 1)
 		b.process("outdated", "10.0.0.3:1", 0)
 		b.list.Register(instances.Instance{Name: "silent", PeerAddress: "10.0.0.9:1", AdminAddress: "10.0.0.4:1"})
@@ -150,7 +150,7 @@
 
 // TestCheck guards that faulty settings give exit code 2 with all faults.
 func TestCheck(t *testing.T) {
-	withBench(t, func(t *testing.T, b *bench) {
+	withCommands(t, func(t *testing.T, b *commandRig) {
 		path := filepath.Join(t.TempDir(), "settings.yaml")
 		if err := os.WriteFile(path, []byte("role: entry\nlisten: {peer: 1}\n"), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -102,7 +102,7 @@
 	if !ok {
 		return c
 	}
-	c.Wait = time.Duration(h.load.WaitMs) * time.Millisecond
+	c.Wait = e.hints.wait(t.upstream)
 	c.Slots = int(h.load.Slots)
 	c.FreeSlots = int(h.load.Slots - min(h.load.Slots, h.load.Running))
 	c.FreeChunks = int(h.load.FreeChunks)
@@ -115,38 +115,52 @@
 const unknownHintAge = time.Hour
 
 // prefillCandidate picks the prefill upstream by the policy's weighing of queue,
-// cached prefix and distance. near is where the output will be decoded.
-func (e *Entry) prefillCandidate(snap *config.Snapshot, req *Request, near target, avoid map[string]bool) (target, bool) {
+// cached prefix and distance. domain is where the output will be decoded. It
+// also returns the expected time until the prefill ends.
+func (e *Entry) prefillCandidate(snap *config.Snapshot, req *Request, domain string, avoid map[string]bool) (target, time.Duration, bool) {
 	list := e.targets(snap, req.Model.PrefillPool, avoid)
 	slices.SortFunc(list, func(a, b target) int { return strings.Compare(a.upstream, b.upstream) })
-	if len(list) == 0 {
-		return target{}, false
-	}
 	if req.Suspect {
-		return suspectOrder(req, list)[0], true
+		list = suspectOrder(req, list)
 	}
 	hashes := req.prefixHashes()
 	candidates := make([]choose.Prefill, len(list))
 	for i, t := range list {
-		candidates[i] = choose.Prefill{
-			Name:         t.upstream,
-			Domain:       t.member.FailureDomain,
-			Age:          unknownHintAge,
-			CachedTokens: e.cache.cached(t.upstream, hashes),
-		}
-		if h, ok := e.hints.get(t.upstream); ok {
-			candidates[i].Wait = time.Duration(h.load.WaitMs) * time.Millisecond
-			candidates[i].Age = time.Since(h.at)
-		}
+		candidates[i] = e.prefillOption(t, hashes)
 	}
+	rate := e.prefillRate.rate()
 	at := choose.PrefillUpstream(candidates, choose.Prompt{
 		Tokens: req.PrefillTokens(),
 		Hashes: hashes,
-		Rate:   e.prefillRate.rate(),
-		Domain: near.member.FailureDomain,
+		Rate:   rate,
+		Domain: domain,
 	})
 	if at < 0 {
-		return target{}, false
+		return target{}, 0, false
+	}
+	uncached := max(1, req.PrefillTokens()-candidates[at].CachedTokens)
+	return list[at], candidates[at].Wait + e.prefillRate.estimate(uncached), true
+}
+
+func (e *Entry) prefillOption(t target, hashes []uint64) choose.Prefill {
+	c := choose.Prefill{
+		Name:         t.upstream,
+		Domain:       t.member.FailureDomain,
+		Age:          unknownHintAge,
+		CachedTokens: e.cache.cached(t.upstream, hashes),
+		Wait:         e.hints.wait(t.upstream),
+	}
+	if h, ok := e.hints.get(t.upstream); ok {
+		c.Age = time.Since(h.at)
+	}
+	return c
+}
+
+// prefillTime estimates the time from a grant until the prefill output can be
+// imported.
+func (e *Entry) prefillTime(snap *config.Snapshot, req *Request) time.Duration {
+	if _, took, ok := e.prefillCandidate(snap, req, e.domain, nil); ok {
+		return took
 	}
-	return list[at], true
+	return e.prefillRate.estimate(req.PrefillTokens())
 }
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -16,11 +16,13 @@
 	at   time.Time
 }
 
-// upstreamHints is the newest hint of one upstream and the number of requests
-// that this entry sent there since.
+// upstreamHints is the newest hint of one upstream and what this entry
+// sent there since.
 type upstreamHints struct {
 	newest atomic.Pointer[hint]
 	sent   atomic.Int64
+	// sentWork is the time that the requests sent since will take.
+	sentWork atomic.Int64
 }
 
 // hintTable keeps the newest hint of each upstream. Reading takes no lock.
@@ -43,9 +45,26 @@
 	u := t.of(l.Upstream)
 	u.newest.Store(&hint{load: l, at: time.Now()})
 	u.sent.Store(0)
+	u.sentWork.Store(0)
 }
 
-func (t *hintTable) noteSent(upstream string) { t.of(upstream).sent.Add(1) }
+// noteSent counts a request that was just sent, and the time it will take.
+func (t *hintTable) noteSent(upstream string, work time.Duration) {
+	u := t.of(upstream)
+	u.sent.Add(1)
+	u.sentWork.Add(int64(work))
+}
+
+// wait estimates the wait at an upstream: the hinted one and the work sent
+// since, less the time that has passed.
+func (t *hintTable) wait(upstream string) time.Duration {
+	h, ok := t.get(upstream)
+	if !ok {
+		return 0
+	}
+	hinted := time.Duration(h.load.WaitMs) * time.Millisecond
+	return max(0, hinted+time.Duration(t.of(upstream).sentWork.Load())-time.Since(h.at))
+}
 
 func (t *hintTable) sentSince(upstream string) int { return int(t.of(upstream).sent.Load()) }
 
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -49,8 +52,12 @@
 	return e, true
 }
 
-// next waits for an event; it returns the context's cause when that ends first.
-func (b *inbox) next(ctx context.Context) (event, error) {
+// errTick reports that the tick came before an event.
+var errTick = errors.New("tick")
+
+// next waits for an event; it returns errTick when tick fires before, and the
+// context's cause when that ends first.
+func (b *inbox) next(ctx context.Context, tick <-chan time.Time) (event, error) {
 	for {
 		if e, ok := b.take(); ok {
 			return e, nil
@@ -58,6 +65,8 @@
 		select {
 		case <-ctx.Done():
 			return event{}, context.Cause(ctx)
+		case <-tick:
+			return event{}, errTick
 		case <-b.wake:
 		}
 	}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -15,14 +15,14 @@
 	if len(r.prefillTried) >= maxPrefillsPerAttempt {
 		return r.noPrefill("too many prefill upstreams failed")
 	}
-	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillAvoid())
+	t, took, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target.member.FailureDomain, r.prefillAvoid())
 	if !ok {
 		return r.noPrefill("no prefill upstream is available")
 	}
 	r.prefillTried[t.upstream] = true
 	r.prefillBegan = time.Now()
 	r.prefill = r.openPrefill(t)
-	r.entry.hints.noteSent(t.upstream)
+	r.entry.hints.noteSent(t.upstream, took-r.entry.hints.wait(t.upstream))
 	r.record("prefill", t.upstream, "")
 	return nil
 }
@@ -167,7 +167,7 @@
 		PromptTokens:    uint64(r.req.PrefillTokens()),
 		PredictedTokens: r.entry.predict(r.req),
 		MaxTokens:       remaining,
-		PrefillMs:       milliseconds(r.entry.prefillRate.estimate(r.req.PrefillTokens())),
+		PrefillMs:       milliseconds(r.prefillTime),
 		TtftBudgetMs:    milliseconds(r.req.TTFTBudget(now)),
 		WaitedMs:        milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:     r.req.Fingerprint[:],
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// reservationsPerAttempt is how many sidecars a request waits at; the first
+	// reservationsPerStep is how many sidecars a request asks at once; the first
 	// grant wins, which evens out queues that the entry knows late.
-	reservationsPerAttempt = 2
+	reservationsPerStep = 2
+	// escalateAfter is the wait after which a request asks further sidecars. A
+	// caller that waits at few loses against one that waits at all.
+	escalateAfter = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one request after failures.
 	maxAttempts = 8
 	// maxPrefillsPerAttempt bounds the prefill upstreams tried under one reservation.
@@ -63,6 +66,8 @@
 	prefillTried map[string]bool
 	prefillBegan time.Time
 	starting     bool
+	prefillTime  time.Duration    // estimate from the grant until the import can begin
+	tick         <-chan time.Time // time to ask further sidecars; nil when there are none
 
 	avoid map[string]bool // upstreams at which an attempt of this request failed
 }
@@ -149,15 +154,21 @@
 		r.candidates = r.entry.decodeCandidates(r.snap, r.req, r.avoid)
 	}
 	r.record("attempt", "", "")
-	for range reservationsPerAttempt {
-		r.reserveNext()
-	}
+	r.prefillTime = r.entry.prefillTime(r.snap, r.req)
+	r.escalate()
 	if err := r.checkPending(); err != nil {
 		return err
 	}
+	escalation := time.NewTicker(escalateAfter)
+	defer escalation.Stop()
+	r.tick = escalation.C
 	for r.req.Attempt() == n {
-		ev, err := r.inbox.next(r.ctx)
-		if err != nil {
+		ev, err := r.inbox.next(r.ctx, r.tick)
+		switch {
+		case errors.Is(err, errTick):
+			r.escalate()
+			continue
+		case err != nil:
 			return err
 		}
 		if err := r.handle(ev); err != nil {
@@ -182,6 +193,17 @@
 	}
 }
 
+// escalate asks further candidates while the request waits for a grant.
+func (r *runner) escalate() {
+	if r.decode != nil || len(r.candidates) == 0 {
+		r.tick = nil
+		return
+	}
+	for range reservationsPerStep {
+		r.reserveNext()
+	}
+}
+
 // reserveNext asks the next candidate for a reservation.
 func (r *runner) reserveNext() {
 	if len(r.candidates) == 0 {
@@ -190,7 +212,7 @@
 	t := r.candidates[0]
 	r.candidates = r.candidates[1:]
 	r.pending = append(r.pending, r.openDecode(t))
-	r.entry.hints.noteSent(t.upstream)
+	r.entry.hints.noteSent(t.upstream, 0)
 	r.record("reserve", t.upstream, "")
 }
 
