Explain a request across its processes; limit log lines per kind

The entry asks the sidecars that its own events name. An entry is ready only when it knows members: a request right after the start was refused because no upstream was known yet.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
 // State is the dump of one process. It holds no secrets: callers' keys appear
@@ -26,13 +28,20 @@
 	Parts          map[string]any `json:"parts"`
 }
 
+// ProcessEvent is an event of a request and the process that recorded it.
+type ProcessEvent struct {
+	Process string `json:"process"`
+	telemetry.Event
+}
+
 // Options are the dependencies of the admin handler.
 type Options struct {
 	State    func() State
 	Ready    func() error
 	Registry *prometheus.Registry
-	// Explain returns the recorded events of a request.
-	Explain func(requestID string) any
+	// Explain returns the events of a request that this process and the
+	// sidecars it used recorded.
+	Explain func(ctx context.Context, requestID string) []ProcessEvent
 	// Drain starts a graceful shutdown.
 	Drain func(ctx context.Context) error
 }
@@ -50,7 +59,7 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 	mux.HandleFunc("GET /debug/explain/{id}", func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, o.Explain(r.PathValue("id")))
+		writeJSON(w, o.Explain(r.Context(), r.PathValue("id")))
 	})
 	mux.HandleFunc("POST /drain", func(w http.ResponseWriter, r *http.Request) {
 		if err := o.Drain(r.Context()); err != nil {
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
@@ -78,7 +79,58 @@
 	return s.role.commitIntents(ctx, req)
 }
 
-func serveAdmin(lc fx.Lifecycle, p Process, id *identity, holder *config.Holder, r *relay.Relay, table *membership.Table,
+// explainer collects the events of a request from this process and from the
+// sidecars that the events name.
+type explainer struct {
+	name   string
+	events *telemetry.FlightLog
+	view   membership.View
+	client *http.Client
+	secret string
+	log    *log.Logger
+}
+
+// explainTimeout bounds the call to one sidecar.
+const explainTimeout = 2 * time.Second
+
+func (x *explainer) explain(ctx context.Context, requestID string) []admin.ProcessEvent {
+	var out []admin.ProcessEvent
+	asked := make(map[string]bool)
+	for _, e := range x.events.Events(requestID) {
+		out = append(out, admin.ProcessEvent{Process: x.name, Event: e})
+		if e.Upstream == "" || asked[e.Upstream] {
+			continue
+		}
+		asked[e.Upstream] = true
+		if m, ok := x.view.Upstream(e.Upstream); ok && m.Name != x.name {
+			out = append(out, x.ask(ctx, m, requestID)...)
+		}
+	}
+	return out
+}
+
+func (x *explainer) ask(ctx context.Context, m membership.Member, requestID string) []admin.ProcessEvent {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	resp, err := peer.NewClient(m.PeerAddress, x.client, x.secret).Explain(ctx, &peer.ExplainRequest{RequestId: requestID})
+	if err != nil {
+		x.log.Warn("sidecar did not tell its part of a request", "request", requestID, "peer", m.Name, "err", err)
+		return nil
+	}
+	var out []admin.ProcessEvent
+	for _, e := range resp.Events {
+		out = append(out, admin.ProcessEvent{Process: resp.Process, Event: telemetry.Event{
+			Time:     time.Unix(0, e.UnixNanos),
+			Attempt:  e.Attempt,
+			Kind:     e.Kind,
+			Upstream: e.Upstream,
+			Detail:   e.Detail,
+		}})
+	}
+	return out
+}
+
+func serveAdmin(lc fx.Lifecycle, p Process, c peerClient, id *identity, holder *config.Holder, r *relay.Relay, table *membership.Table,
 	events *telemetry.FlightLog, registry *prometheus.Registry, role roleParts, sd fx.Shutdowner, logger *log.Logger) {
 	state := func() admin.State {
 		m := id.member()
@@ -93,27 +145,38 @@
 			Incarnation:    m.Incarnation,
 			Version:        version.Build,
 			ConfigRevision: m.ConfigRevision,
-			Ready:          readiness(id, holder) == nil,
+			Ready:          readiness(id, holder, table) == nil,
 			Leaving:        id.leaving(),
 			Parts:          parts,
 		}
 	}
+	explain := &explainer{
+		name:   p.Settings.Instance,
+		events: events,
+		view:   table,
+		client: c.Client,
+		secret: p.Settings.PeerSecret,
+		log:    logger,
+	}
 	handler := admin.New(admin.Options{
 		State:    state,
-		Ready:    func() error { return readiness(id, holder) },
+		Ready:    func() error { return readiness(id, holder, table) },
 		Registry: registry,
-		Explain:  func(requestID string) any { return events.Events(requestID) },
+		Explain:  explain.explain,
 		Drain:    func(context.Context) error { return sd.Shutdown() },
 	})
 	serve(lc, p, p.AdminListener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, logger)
 }
 
-func readiness(id *identity, holder *config.Holder) error {
+// readiness tells why the process should get no requests yet, or nil.
+func readiness(id *identity, holder *config.Holder, table *membership.Table) error {
 	switch {
 	case id.leaving():
 		return errors.New("leaving: send new work to another instance")
 	case holder.Snapshot() == nil:
 		return errors.New("no configuration yet: check that the key-value service or a peer is reachable and that a ticket was applied")
+	case len(table.Members()) == 0:
+		return errors.New("no members known yet: check that the instance list or a peer is reachable")
 	default:
 		return nil
 	}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -13,7 +13,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/fescueslip/fescueslip/internal/telemetry"
+	"github.com/fescueslip/fescueslip/internal/admin"
 )
 
 // Explain tells one request's way through the processes.
@@ -39,18 +39,13 @@
 	f.StringVar(&e.request, "request", "", "request id")
 }
 
-type explainedEvent struct {
-	process string
-	event   telemetry.Event
-}
-
 // Execute implements subcommands.Command.
 func (e *Explain) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if e.request == "" {
 		fmt.Fprintln(os.Stderr, "explain: name the request with -request ID")
 		return subcommands.ExitUsageError
 	}
-	var events []explainedEvent
+	var events []admin.ProcessEvent
 	for _, address := range e.admin.list() {
 		found, err := fetchEvents(ctx, address, e.request)
 		if err != nil {
@@ -67,30 +62,26 @@
 	return subcommands.ExitSuccess
 }
 
-func fetchEvents(ctx context.Context, address, request string) ([]explainedEvent, error) {
+func fetchEvents(ctx context.Context, address, request string) ([]admin.ProcessEvent, error) {
 	raw, err := adminGet(ctx, address, "/debug/explain/"+url.PathEscape(request))
 	if err != nil {
 		return nil, err
 	}
-	var list []telemetry.Event
+	var list []admin.ProcessEvent
 	if err := json.Unmarshal(raw, &list); err != nil {
 		return nil, err
 	}
-	var out []explainedEvent
-	for _, ev := range list {
-		out = append(out, explainedEvent{process: address, event: ev})
-	}
-	return out, nil
+	return list, nil
 }
 
-func printEvents(events []explainedEvent) {
-	slices.SortStableFunc(events, func(a, b explainedEvent) int { return a.event.Time.Compare(b.event.Time) })
-	first := events[0].event.Time
+func printEvents(events []admin.ProcessEvent) {
+	slices.SortStableFunc(events, func(a, b admin.ProcessEvent) int { return a.Time.Compare(b.Time) })
+	first := events[0].Time
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "AFTER\tPROCESS\tATTEMPT\tEVENT\tUPSTREAM\tDETAIL")
 	for _, e := range events {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", e.event.Time.Sub(first).Round(time.Millisecond),
-			e.process, e.event.Attempt, e.event.Kind, e.event.Upstream, e.event.Detail)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", e.Time.Sub(first).Round(time.Millisecond),
+			e.Process, e.Attempt, e.Kind, e.Upstream, e.Detail)
 	}
 	_ = w.Flush()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,7 @@
 	events   *telemetry.FlightLog
 	metrics  *Metrics
 	log      *log.Logger
+	limited  *telemetry.LimitedLog
 
 	hints       hintTable
 	streams     streamCounter
@@ -120,6 +121,7 @@
 		events:   o.Events,
 		metrics:  o.Metrics,
 		log:      o.Logger,
+		limited:  telemetry.NewLimitedLog(o.Logger),
 
 		lengths:    newLengths(),
 		cache:      newPrefixCache(),
--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
@@ -101,13 +102,13 @@
 	case err == nil:
 		account.finished.Add(1)
 		e.observeLength(req)
-		e.log.Info("request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
+		e.limited.Log(log.InfoLevel, "finished", "request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
 			"prompt_tokens", req.PromptTokens, "output_tokens", req.Delivered(), "revision", snap.Revision,
 			"duration", time.Since(req.Accepted))
 	case c.Request.Context().Err() != nil:
 		account.cancelled.Add(1)
 		r.record("cancelled", "", "the caller left")
-		e.log.Info("caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
+		e.limited.Log(log.InfoLevel, "caller left", "caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
 	default:
 		e.reportFailure(c, r, account, err)
 	}
@@ -122,7 +123,7 @@
 	}
 	r.record("failed", "", string(f.Kind))
 	e.metrics.refused(c.Request.Context(), f.Kind)
-	e.log.Warn("request not answered", "request", r.req.ID, "caller", r.req.Caller.Name, "attempts", r.req.Attempt(),
+	e.limited.Log(log.WarnLevel, "failed/"+string(f.Kind), "request not answered", "request", r.req.ID, "caller", r.req.Caller.Name, "attempts", r.req.Attempt(),
 		"kind", f.Kind, "outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
 	r.out.Fail(f)
 }
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 
@@ -22,7 +23,7 @@
 
 // refuse ends a call before any work was done for it.
 func (e *Entry) refuse(c *gin.Context, f *fault.Error) {
-	e.log.Info("refused request", "request", c.GetString(keyRequestID), "kind", f.Kind,
+	e.limited.Log(log.InfoLevel, "refused/"+string(f.Kind), "refused request", "request", c.GetString(keyRequestID), "kind", f.Kind,
 		"outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
 	e.metrics.refused(c.Request.Context(), f.Kind)
 	f.Write(c.Writer)
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
@@ -410,7 +411,7 @@
 		return fault.New(fault.KindUpstreamFailed, "send the request again later",
 			"the request failed on %d upstreams", r.req.Attempt()).WithOutcome(fault.Unknown).WithCause(f)
 	}
-	r.entry.log.Warn("attempt failed; trying another upstream",
+	r.entry.limited.Log(log.WarnLevel, "retry/"+f.kind.String(), "attempt failed; trying another upstream",
 		"request", r.req.ID, "attempt", r.req.Attempt(), "upstream", f.upstream, "kind", f.kind.String(), "detail", f.detail)
 	return nil
 }
