Bound the time of request bodies on every path of the entry

Cause, found by a hand-driven slow sender: the read deadline was cleared before the refusal was sent, and the server reads the rest of the body before it sends a refusal, so the connection waited for good. The deadline now stays in force until the body has been read.

--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -42,14 +42,12 @@
 
 // readBody reads the whole body within the limits of size and time.
 func (e *Entry) readBody(c *gin.Context) ([]byte, error) {
-	rc := http.NewResponseController(c.Writer)
-	if err := rc.SetReadDeadline(time.Now().Add(e.limits.BodyTimeout)); err == nil {
-		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, e.limits.MaxBodyBytes))
 	if err == nil {
+		clearBodyDeadline(c)
 		return body, nil
 	}
+	c.Header("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.KindBodyTooLarge, "send a smaller body", "the body is larger than %d bytes", tooLarge.Limit)
@@ -179,5 +177,7 @@
 		e.refuse(c, fault.New(fault.KindUnknownRoute, "check the path", "no route matches %s", c.Request.URL.Path))
 		return
 	}
+	// Package plain streams bodies and has limits of its own.
+	clearBodyDeadline(c)
 	e.plain.ServeCall(c.Writer, c.Request, callerOf(c), c.GetString(keyRequestID))
 }
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -54,6 +54,22 @@
 	id := uuid.NewString()
 	c.Set(keyRequestID, id)
 	c.Header(RequestIDHeader, id)
+	e.limitBodyTime(c)
+}
+
+// limitBodyTime sets the deadline by which the body must have arrived. It stays
+// in force when a request is refused, because the server reads what is left of
+// the body before it sends the refusal.
+func (e *Entry) limitBodyTime(c *gin.Context) {
+	if c.Request.ContentLength == 0 {
+		return
+	}
+	// A ResponseWriter without deadlines belongs to a test without a network.
+	_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
+}
+
+func clearBodyDeadline(c *gin.Context) {
+	_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Time{})
 }
 
 func (e *Entry) checkHeaders(c *gin.Context) {
