Divide a service's places by shares and end stalled bodies

Two faults found by the body-limit test and fixed: after refusing a slow buffered body the server waited for the rest of it without a deadline, and a streamed call that timed out waited for its caller, because closing the server's request body waits for the blocked read.

--- a/internal/plain/body.go
+++ b/internal/plain/body.go
@@ -40,7 +40,7 @@
 	}
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	if !whole && (r.ContentLength < 0 || r.ContentLength > replayLimit) {
-		return &callBody{stream: limited, length: r.ContentLength}, nil
+		return &callBody{stream: &streamedBody{Reader: limited, writer: w}, length: r.ContentLength}, nil
 	}
 	data, f := readBody(w, limited, limit)
 	if f != nil {
@@ -53,11 +53,12 @@
 	control := http.NewResponseController(w)
 	// A writer without deadlines leaves slow senders to the server's own timeouts.
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	data, err := io.ReadAll(body)
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return data, nil
 	}
+	stopReading(w)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, bodyTooLarge(limit)
@@ -66,6 +67,46 @@
 		"the body did not arrive").WithCause(err)
 }
 
+// stopReading ends a request whose body has not arrived. Without a deadline
+// the server would wait for a slow sender before it ends the connection.
+func stopReading(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
+// finish ends the use of the body before its handler returns, since a later
+// deadline would hit the next request of the connection.
+func (b *callBody) finish() {
+	if b != nil && b.stream != nil {
+		_ = b.stream.Close()
+	}
+}
+
+// streamedBody is a caller's body on its way to a service.
+type streamedBody struct {
+	io.Reader
+	writer http.ResponseWriter
+	ended  atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// Close implements io.Closer. It ends a blocked Read, which the server's own
+// body does not: a call that timed out would otherwise wait for its caller.
+func (b *streamedBody) Close() error {
+	if b.ended.Swap(true) {
+		return nil
+	}
+	return http.NewResponseController(b.writer).SetReadDeadline(time.Now())
+}
+
 func bodyTooLarge(limit int64) *fault.Error {
 	return fault.New(fault.KindBodyTooLarge, "send a smaller body", "the body exceeds %d bytes", limit)
 }
--- a/internal/plain/fleet_test.go
+++ b/internal/plain/fleet_test.go
@@ -156,7 +156,7 @@
 		f.net.Restore(name + ":1")
 		f.net.Restore(name + ":80")
 		s.leaving.Store(false)
-		s.limit, s.upstream = defaultMaxInFlight, name
+		s.places.limit, s.upstream = defaultMaxInFlight, name
 		m := f.view.members[name]
 		m.State = membership.Serving
 		f.view.members[name] = m
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/membership"
 )
@@ -136,7 +138,7 @@
 	{"sidecar cannot be dialled", func(f *fleet, n string) { f.net.Cut(n + ":1") }, 503, fault.NotRun, 0},
 	{"service cannot be dialled", func(f *fleet, n string) { f.net.Cut(n + ":80") }, 503, fault.NotRun, 0},
 	{"sidecar is leaving", func(f *fleet, n string) { f.sidecars[n].Leave() }, 503, fault.NotRun, 0},
-	{"sidecar is full", func(f *fleet, n string) { f.sidecars[n].limit = 0 }, 429, fault.NotRun, 0},
+	{"sidecar is full", func(f *fleet, n string) { f.sidecars[n].places.limit = 0 }, 429, fault.NotRun, 0},
 	{"address belongs to another sidecar", func(f *fleet, n string) { f.sidecars[n].upstream = "other" }, 503, fault.NotRun, 0},
 	{"peer secret is wrong", func(f *fleet, _ string) { f.router.secret = "wrong" }, 503, fault.NotRun, 0},
 	{"service dies while running", func(f *fleet, n string) {
@@ -410,3 +412,63 @@
 		wantRefusal(t, f.call("POST", "/orders/book", "b"), 503, fault.NotRun)
 	})
 }
+
+// Guards against a caller that takes all places of a service from others, and
+// against places that are not divided by shares.
+func TestPlacesAreDividedByShares(t *testing.T) {
+	snapshot := config.Build(1, config.Objects{Callers: []*config.Caller{{Name: "one", Share: 1}, {Name: "three", Share: 3}}})
+	p := newPlaces(256, config.Static{Current: snapshot})
+	for p.take("one") {
+	}
+	if free := p.limit - p.running; free < p.limit/6 || !p.take("three") {
+		t.Fatalf("a flood leaves %d of %d places", free, p.limit)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20_000 {
+		// Both ask far more often than calls end.
+		for range 3 {
+			p.take("one")
+			p.take("three")
+		}
+		ends := "one"
+		if rng.IntN(p.running) >= p.byCaller["one"] {
+			ends = "three"
+		}
+		p.release(ends)
+	}
+	if ratio := float64(p.byCaller["three"]) / float64(p.byCaller["one"]); ratio < 2.8 || ratio > 3.2 {
+		t.Fatalf("places %v, want 3 to 1", p.byCaller)
+	}
+}
+
+// Guards against bodies that are too slow or too long being called not-run
+// after part of them was sent, or unknown before.
+func TestBodyLimits(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		length  int64
+		status  int
+		outcome fault.Outcome
+	}{
+		{"declared and slow", 1000, 408, fault.NotRun},
+		{"undeclared and too long", -1, 502, fault.Unknown},
+		{"undeclared and stalled", -2, 504, fault.Unknown},
+	} {
+		inFleet(t, 1, func(t *testing.T, f *fleet) {
+			pr, pw := io.Pipe()
+			defer func() { _ = pw.Close() }()
+			go func() {
+				for err := error(nil); err == nil && c.length == -1; {
+					_, err = pw.Write(make([]byte, 1<<20))
+				}
+			}()
+			r, _ := http.NewRequestWithContext(t.Context(), "POST", "http://entry:80/orders/book", pr)
+			r.ContentLength = max(c.length, -1)
+			resp, err := f.overHTTP().Do(r)
+			if err != nil || resp.StatusCode != c.status || resp.Header.Get(fault.OutcomeHeader) != string(c.outcome) {
+				t.Fatalf("%s: %v, %v", c.name, resp, err)
+			}
+			_ = resp.Body.Close()
+		})
+	}
+}
--- a/internal/plain/router.go
+++ b/internal/plain/router.go
@@ -91,6 +91,7 @@
 		request:  r,
 		timeout:  routeTimeout(route),
 	}
+	defer func() { c.body.finish() }()
 	if f := p.serve(w, c); f != nil {
 		p.logRefusal(c, f)
 		f.Write(w)
--- a/internal/plain/sidecar.go
+++ b/internal/plain/sidecar.go
@@ -38,7 +38,8 @@
 	// Target is the base address of the service.
 	Target *url.URL
 	// Dial opens connections to the service; nil means TCP.
-	Dial   wire.DialFunc
+	Dial wire.DialFunc
+	// Config gives the callers' shares; nil means equal shares.
 	Config config.Source
 	Logger *log.Logger
 	// MaxInFlight bounds the calls at the service; 0 means 256.
@@ -52,7 +53,7 @@
 	instance  string
 	target    *url.URL
 	logger    *log.Logger
-	limit     int64
+	places    *places
 	transport *http.Transport
 	leaving   atomic.Bool
 	counts    sidecarCounts
@@ -89,7 +90,7 @@
 		instance:  o.Instance,
 		target:    o.Target,
 		logger:    o.Logger,
-		limit:     int64(o.MaxInFlight),
+		places:    newPlaces(o.MaxInFlight, o.Config),
 		transport: serviceTransport(o.Dial, o.MaxInFlight),
 		counts:    sidecarCounts{reasons: make(map[reason]int64)},
 	}
@@ -154,21 +155,23 @@
 
 func (s *Sidecar) serve(w http.ResponseWriter, r *http.Request) {
 	// Counted before the check, so that Drain cannot miss a call that passed it.
-	running := s.counts.running.Add(1)
+	s.counts.running.Add(1)
 	defer s.counts.running.Add(-1)
 	if s.leaving.Load() {
 		w.Header().Set(headerLeaving, "1")
 		s.refuse(w, reasonLeaving)
 		return
 	}
-	if running > s.limit {
-		s.refuse(w, reasonOverloaded)
-		return
-	}
 	if r.Header.Get(headerUpstream) != s.upstream {
 		s.refuse(w, reasonMisdirected)
 		return
 	}
+	caller := r.Header.Get(HeaderCaller)
+	if !s.places.take(caller) {
+		s.refuse(w, reasonOverloaded)
+		return
+	}
+	defer s.places.release(caller)
 	s.forward(w, r)
 }
 
