--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -60,14 +60,16 @@
 	o   OrdersOptions
 	key string
 
-	mu     sync.Mutex // one order at a time
+	issuing chan struct{} // holds a token while an order is issued
+
+	mu     sync.Mutex
 	last   engine.Order
 	issued int
 }
 
 // NewOrders returns the aggregate for one upstream.
 func NewOrders(o OrdersOptions) *Orders {
-	return &Orders{o: o, key: fencePrefix + o.Upstream}
+	return &Orders{o: o, key: fencePrefix + o.Upstream, issuing: make(chan struct{}, 1)}
 }
 
 func holderName(instance string, incarnation uint64) string {
@@ -84,8 +86,8 @@
 
 // Issue obtains a token and gives the order. The order's Fencing is set here.
 func (o *Orders) Issue(ctx context.Context, order engine.Order) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.issuing <- struct{}{}
+	defer func() { <-o.issuing }()
 	f, err := o.take(ctx)
 	if err != nil {
 		return err
@@ -96,6 +98,9 @@
 			return err
 		}
 		done, err := o.readBack(ctx, order)
+		if done {
+			o.record(order)
+		}
 		if done || err != nil {
 			return err
 		}
@@ -223,8 +228,7 @@
 		}
 		done, err := o.readBack(lease, order)
 		if done {
-			o.last = order
-			o.issued++
+			o.record(order)
 			return nil
 		}
 		if errors.Is(err, ErrSuperseded) {
@@ -237,6 +241,13 @@
 	return errors.Wrapf(last, "order %s did not take effect; issue it again", order.ID)
 }
 
+func (o *Orders) record(order engine.Order) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last = order
+	o.issued++
+}
+
 // Recheck issues the last order again when an older one replaced it, which a
 // paused former holder can cause at an engine that ignores tokens.
 func (o *Orders) Recheck(ctx context.Context) error {
