Make intents of dead entries unknown for all processes

A process that had not watched the time pass, such as one just started, read such an intent as running until the limit had passed since its own first look. The preferred writer now observes its shards every 5 s and writes the head when an intent has outlived its limit. Without that write the dead-entry test fails.

--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -161,3 +161,25 @@
 func containsSegment(refs []segmentRef, id segmentID) bool {
 	return slices.ContainsFunc(refs, func(r segmentRef) bool { return r.id == id })
 }
+
+// observe reads the head when asked to. If an intent has outlived its limit
+// since the head was written, it has the head written again, so that processes
+// that have not watched the time pass also call its outcome unknown.
+func (s *shard) observe(ctx context.Context) {
+	s.mu.Lock()
+	asked := s.look
+	s.look = false
+	s.mu.Unlock()
+	if !asked || s.readHead(ctx) != nil {
+		return
+	}
+	now := s.head.clock.plus(time.Since(s.seen))
+	for _, i := range s.head.intents {
+		if i.State == Committed && i.StateAt(now) != i.StateAt(s.head.clock) {
+			s.mu.Lock()
+			s.touch = true
+			s.mu.Unlock()
+			return
+		}
+	}
+}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -245,6 +246,13 @@
 	return n
 }
 
+// remove takes an entry off the list of members.
+func (f *fleet) remove(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes = slices.Delete(f.nodes, n, n+1)
+}
+
 func (f *fleet) entry(n int) *node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,6 +20,8 @@
 	// keepTimeEvery is how often idle shards are written, so that at most this
 	// much of a key's age is lost when all entries are replaced at once.
 	keepTimeEvery = 10 * time.Minute
+	// observeEvery is how often a writer looks for intents of dead entries.
+	observeEvery = 5 * time.Second
 )
 
 // Options are the dependencies of a Ledger.
@@ -98,18 +100,25 @@
 	return nil
 }
 
+// keepTime has the writers of this process observe their shards, and write
+// them when nothing else does.
 func (l *Ledger) keepTime(ctx context.Context) {
-	tick := time.NewTicker(keepTimeEvery)
+	tick := time.NewTicker(observeEvery)
 	defer tick.Stop()
+	written := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
+		write := time.Since(written) >= keepTimeEvery
+		if write {
+			written = time.Now()
+		}
 		for n, s := range l.shards {
 			if l.writers.isSelf(n) {
-				s.keepTime()
+				s.keepTime(write)
 			}
 		}
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -88,8 +88,10 @@
 		f.entry(0).stop()
 		f.net.Cut("entry-0:1")
 		wantState(t, f.entry(1), "k", "running")
-		time.Sleep(testRunTime + time.Second)
-		wantState(t, f.entry(1), "k", "unknown")
+		f.remove(0)
+		time.Sleep(testRunTime + 2*observeEvery)
+		// Also a process that has only just started knows.
+		wantState(t, f.start("entry-3"), "k", "unknown")
 		_, _, err := f.entry(2).Begin(t.Context(), call("k"))
 		wantFault(t, err, fault.KindOutcomeUnknown, fault.Unknown)
 	})
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -53,7 +53,8 @@
 	closed bool
 	queue  []*pending
 	armed  bool
-	touch  bool
+	touch  bool // write even without operations
+	look   bool // observe the head
 	wake   chan struct{}
 
 	// The fields below belong to the goroutine of run.
@@ -107,11 +108,12 @@
 	}
 }
 
-// keepTime makes the writer write even without operations, so that the shard's
-// clock advances and old keys expire.
-func (s *shard) keepTime() {
+// keepTime makes the writer observe the head, or write it even without
+// operations, so that the shard's clock advances and old keys expire.
+func (s *shard) keepTime(write bool) {
 	s.mu.Lock()
-	s.touch = true
+	s.look = true
+	s.touch = s.touch || write
 	s.mu.Unlock()
 	s.signal()
 }
@@ -135,6 +137,7 @@
 		case <-s.wake:
 			// An error means that ctx ended.
 			_ = s.limiter.Wait(ctx)
+			s.observe(ctx)
 			s.flush(context.WithoutCancel(ctx), flushTimeout)
 		}
 	}
