--- a/internal/plain/headers.go
+++ b/internal/plain/headers.go
@@ -127,5 +127,8 @@
 		h.Set("X-Forwarded-For", host)
 	}
 	h.Set("X-Forwarded-Host", r.Host)
-	h.Set("X-Forwarded-Proto", "http")
+	if h.Get("X-Forwarded-Proto") == "" {
+		// The platform's load balancer sets it when it ends TLS.
+		h.Set("X-Forwarded-Proto", "http")
+	}
 }
