--- a/internal/sidecar/aggregates_test.go
+++ b/internal/sidecar/aggregates_test.go
@@ -107,6 +107,10 @@
 	if v := r.Advance(0, b, 200, 8); v != last {
 		t.Fatalf("paused %+v, want the most recent stream of the caller furthest over its share", v)
 	}
+	a := r.list[0]
+	if v := r.Advance(0, a, 200, 8); v != nil {
+		t.Fatalf("paused %+v as well, while the first pause frees enough for both", v)
+	}
 	r = full()
 	grant(r, "a", 4, true)
 	grant(r, "a", 4, true)
--- a/internal/sidecar/decode_test.go
+++ b/internal/sidecar/decode_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,13 +116,15 @@
 			d.until(isGranted)
 			d.start("h")
 		}
+		begin := time.Now()
 		for _, d := range []*decodeStream{a, b} {
 			if m := d.until(isLast); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_TRANSFER {
 				t.Fatalf("got %v, want a failed transfer", m)
 			}
 		}
-		if n := r.engine.held(); n != 0 {
-			t.Fatalf("engine holds %d tokens after the stall", n)
+		// The source holds its output for 800 ms.
+		if n, took := r.engine.held(), time.Since(begin); n != 0 || took > 500*time.Millisecond {
+			t.Fatalf("engine holds %d tokens; told after %v, too late to try again", n, took)
 		}
 		a.start("h")
 		if m := a.until(isLast); m.GetDone() == nil {
@@ -261,3 +264,46 @@
 		}
 	})
 }
+
+// Guards against memory that stays held while a frame to an entry that does not
+// read is being written.
+func TestCancelOfAnEntryThatDoesNotRead(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	f.outputTokens = 10_000
+	f.padding = strings.Repeat("x", 256<<10)
+	inRig(t, f, func(r *rig) {
+		d := r.decode(reserveFrame("a", "x"))
+		defer d.Close()
+		d.until(isGranted)
+		d.unread.Store(true)
+		d.start("h")
+		time.Sleep(time.Second)
+		if f.held() == 0 {
+			t.Fatal("decode ended early")
+		}
+		d.cancel()
+		time.Sleep(250 * time.Millisecond)
+		if n := f.held(); n != 0 {
+			t.Fatalf("engine holds %d tokens", n)
+		}
+	})
+}
+
+// Guards against output with a gap or a repetition that is passed on.
+func TestOutputOrder(t *testing.T) {
+	o := newOutput(3)
+	for i, c := range []struct {
+		index int
+		ok    bool
+	}{{3, true}, {4, true}, {4, false}, {6, false}, {5, true}} {
+		if isToken, err := o.add(engine.Token{Index: c.index, Text: "t"}); isToken != c.ok || (err == nil) != c.ok {
+			t.Fatalf("line %d with index %d: %v, %v", i, c.index, isToken, err)
+		}
+	}
+	if _, err := o.add(engine.Token{Index: 6, FinishReason: "stop"}); err != nil {
+		t.Fatal(err)
+	}
+	if b := o.take(); b.index != 3 || len(b.text) != 3 || b.total != 6 || b.finish != "stop" {
+		t.Fatalf("got %+v", b)
+	}
+}
--- a/internal/sidecar/fake_test.go
+++ b/internal/sidecar/fake_test.go
@@ -26,6 +26,7 @@
 
 	prefillTime, importTime, step time.Duration
 	outputTokens                  int
+	padding                       string        // of each token
 	stallImports                  int           // imports that never end
 	lostCancels                   int           // cancels without an answer
 	loseAnswers                   bool          // of prefills
@@ -240,7 +241,7 @@
 	}
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
-	t := engine.Token{Index: s.next, Text: fmt.Sprint("t", s.next)}
+	t := engine.Token{Index: s.next, Text: fmt.Sprint("t", s.next, s.f.padding)}
 	s.next++
 	s.f.resize(s.r, s.prompt+s.next)
 	if s.next >= s.f.outputTokens {
--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,6 +89,7 @@
 	*wire.Stream[*wire.DecodeRequest, *wire.DecodeReply]
 	t      *testing.T
 	frames chan *wire.DecodeReply
+	unread atomic.Bool // stops the reading
 }
 
 func dialDecode(t *testing.T, hc *http.Client, addr string, res *wire.Reserve) *decodeStream {
@@ -102,7 +104,12 @@
 	go s.Heartbeat(func() *wire.DecodeRequest {
 		return &wire.DecodeRequest{Body: &wire.DecodeRequest_Renew{Renew: &wire.Renew{}}}
 	})
-	go receive(s.Recv, d.frames)
+	go receive(func() (*wire.DecodeReply, error) {
+		if d.unread.Load() {
+			<-d.Context().Done()
+		}
+		return s.Recv()
+	}, d.frames)
 	return d
 }
 
--- a/internal/sidecar/prefill_test.go
+++ b/internal/sidecar/prefill_test.go
@@ -25,9 +25,13 @@
 		{"silence while held long", func(f *fakeEngine) { f.holdTime = time.Minute }, func(p *prefillStream) { p.until(isReady) },
 			func(r *rig, _ *prefillStream) { r.net.Silence(testAddr, true) }, 3 * time.Second},
 		{"answer lost", func(f *fakeEngine) { f.loseAnswers = true }, func(p *prefillStream) {
+			begin := time.Now()
 			if m := p.until(isPrefillEnd); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_ENGINE {
 				p.t.Fatalf("got %v, want a failure", m)
 			}
+			if time.Since(begin) > 3*time.Second {
+				p.t.Fatalf("told after %v", time.Since(begin))
+			}
 		}, func(*rig, *prefillStream) {}, 0},
 		{"evicted", nil, func(p *prefillStream) {
 			if m := p.until(isPrefillEnd); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_EVICTED {
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -11,7 +11,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,9 +41,9 @@
 	read    *bufio.Reader
 	closers []io.Closer
 
-	mu    sync.Mutex
-	write io.Writer
-	flush func() error
+	writing chan struct{} // holds a token while a frame is written
+	write   io.Writer
+	flush   func() error
 
 	watchdog *time.Timer
 	lastRecv atomic.Int64
@@ -53,7 +52,7 @@
 
 func newStream[S, R proto.Message](ctx context.Context, newR func() R) *Stream[S, R] {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream[S, R]{ctx: ctx, cancel: cancel, newR: newR, start: time.Now()}
+	s := &Stream[S, R]{ctx: ctx, cancel: cancel, newR: newR, writing: make(chan struct{}, 1), start: time.Now()}
 	s.watchdog = time.AfterFunc(SilenceTimeout, s.checkSilence)
 	return s
 }
@@ -75,10 +74,15 @@
 // Context ends with the stream; its cause tells why.
 func (s *Stream[S, R]) Context() context.Context { return s.ctx }
 
-// Send writes one frame.
+// Send writes one frame. It waits for frames that are being written, but not
+// beyond the stream's end.
 func (s *Stream[S, R]) Send(m S) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	select {
+	case s.writing <- struct{}{}:
+	case <-s.ctx.Done():
+		return context.Cause(s.ctx)
+	}
+	defer func() { <-s.writing }()
 	if s.ctx.Err() != nil {
 		return context.Cause(s.ctx)
 	}
