--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,20 +167,20 @@
 	m.PromptTokens, m.PredictedTokens, m.MaxTokens, m.PrefillMs = uint64(tokens), 100, 400, uint64(25+tokens/8)
 	d := p.reserve(m)
 	defer d.Close()
-	left := false
+	var left atomic.Bool
 	if leave >= 0 {
 		time.AfterFunc(leave, func() {
-			left = true
+			left.Store(true)
 			d.Close()
 		})
 	}
 	if d.until(func(m *wire.DecodeReply) bool { return isGranted(m) || isLast(m) }).GetGranted() == nil {
-		return end(left, "not granted")
+		return end(left.Load(), "not granted")
 	}
 	pre, ready := p.prefill(id, prompt, tokens)
 	defer pre.Close()
-	if ready == nil || left {
-		return end(left, "not prefilled")
+	if ready == nil || left.Load() {
+		return end(left.Load(), "not prefilled")
 	}
 	_ = d.Send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Start{Start: &wire.Start{
 		SourceUrl: ready.GetSourceUrl(), Handle: ready.GetHandle(), KvBytes: ready.GetKvBytes(), Prompt: prompt, MaxTokens: 400,
@@ -193,7 +194,7 @@
 	if last.GetDone() != nil {
 		return "done"
 	}
-	return end(left, last.String())
+	return end(left.Load(), last.String())
 }
 
 func end(left bool, what string) string {
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -135,11 +135,14 @@
 	}
 }
 
-// Close ends the stream and releases its resources.
+// Close ends the stream and releases its resources. It waits for a frame that is
+// being written, because a handler must not return before.
 func (s *Stream[S, R]) Close() {
 	s.watchdog.Stop()
 	s.cancel(context.Canceled)
 	s.closeAll()
+	s.writing <- struct{}{}
+	<-s.writing
 }
 
 func (s *Stream[S, R]) closeAll() {
