--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -15,14 +15,14 @@
 	if len(r.prefillTried) >= maxPrefillsPerAttempt {
 		return r.noPrefill("too many prefill upstreams failed")
 	}
-	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillAvoid())
+	t, took, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target.member.FailureDomain, r.prefillAvoid())
 	if !ok {
 		return r.noPrefill("no prefill upstream is available")
 	}
 	r.prefillTried[t.upstream] = true
 	r.prefillBegan = time.Now()
 	r.prefill = r.openPrefill(t)
-	r.entry.hints.noteSent(t.upstream)
+	r.entry.hints.noteSent(t.upstream, took-r.entry.hints.wait(t.upstream))
 	r.record("prefill", t.upstream, "")
 	return nil
 }
@@ -89,8 +89,10 @@
 
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
 	r.ready = ready
-	r.entry.prefillRate.observe(ready.Tokens-min(ready.Tokens, ready.CachedTokens), time.Since(r.prefillBegan))
 	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
+	computed := ready.Tokens - min(ready.Tokens, ready.CachedTokens)
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.PrefillPool, c.target.upstream, float64(computed))
+	r.entry.prefillRate.observe(computed, time.Since(r.prefillBegan))
 	r.record("prefilled", c.target.upstream, "")
 	if r.decode == nil {
 		return nil
@@ -136,6 +138,8 @@
 		WaitedMs:       milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:    r.req.Fingerprint[:],
 		Suspect:        r.req.Suspect,
+		CallerUsage:    r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.PrefillPool, t.upstream),
+		Source:         r.entry.instance,
 		ConfigRevision: r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.PrefillRequest, *wire.PrefillReply]{
@@ -163,11 +167,13 @@
 		PromptTokens:    uint64(r.req.PrefillTokens()),
 		PredictedTokens: r.entry.predict(r.req),
 		MaxTokens:       remaining,
-		PrefillMs:       milliseconds(r.entry.prefillRate.estimate(r.req.PrefillTokens())),
+		PrefillMs:       milliseconds(r.prefillTime),
 		TtftBudgetMs:    milliseconds(r.req.TTFTBudget(now)),
 		WaitedMs:        milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:     r.req.Fingerprint[:],
 		Suspect:         r.req.Suspect,
+		CallerUsage:     r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.DecodePool, t.upstream),
+		Source:          r.entry.instance,
 		ConfigRevision:  r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.DecodeRequest, *wire.DecodeReply]{
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
@@ -15,9 +16,12 @@
 )
 
 const (
-	// reservationsPerAttempt is how many sidecars a request waits at; the first
+	// reservationsPerStep is how many sidecars a request asks at once; the first
 	// grant wins, which evens out queues that the entry knows late.
-	reservationsPerAttempt = 2
+	reservationsPerStep = 2
+	// escalateAfter is the wait after which a request asks further sidecars. A
+	// caller that waits at few loses against one that waits at all.
+	escalateAfter = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one request after failures.
 	maxAttempts = 8
 	// maxPrefillsPerAttempt bounds the prefill upstreams tried under one reservation.
@@ -54,6 +58,7 @@
 	candidates []target
 	pending    []*decodeConn
 	decode     *decodeConn // holds the granted reservation
+	charged    float64     // cost noted for that reservation
 	refusals   []*wire.Refused
 	accepted   bool // a reservation was granted; the request is owed its answer
 
@@ -62,6 +67,8 @@
 	prefillTried map[string]bool
 	prefillBegan time.Time
 	starting     bool
+	prefillTime  time.Duration    // estimate from the grant until the import can begin
+	tick         <-chan time.Time // time to ask further sidecars; nil when there are none
 
 	avoid map[string]bool // upstreams at which an attempt of this request failed
 }
@@ -148,15 +155,21 @@
 		r.candidates = r.entry.decodeCandidates(r.snap, r.req, r.avoid)
 	}
 	r.record("attempt", "", "")
-	for range reservationsPerAttempt {
-		r.reserveNext()
-	}
+	r.prefillTime = r.entry.prefillTime(r.snap, r.req)
+	r.escalate()
 	if err := r.checkPending(); err != nil {
 		return err
 	}
+	escalation := time.NewTicker(escalateAfter)
+	defer escalation.Stop()
+	r.tick = escalation.C
 	for r.req.Attempt() == n {
-		ev, err := r.inbox.next(r.ctx)
-		if err != nil {
+		ev, err := r.inbox.next(r.ctx, r.tick)
+		switch {
+		case errors.Is(err, errTick):
+			r.escalate()
+			continue
+		case err != nil:
 			return err
 		}
 		if err := r.handle(ev); err != nil {
@@ -181,6 +194,17 @@
 	}
 }
 
+// escalate asks further candidates while the request waits for a grant.
+func (r *runner) escalate() {
+	if r.decode != nil || len(r.candidates) == 0 {
+		r.tick = nil
+		return
+	}
+	for range reservationsPerStep {
+		r.reserveNext()
+	}
+}
+
 // reserveNext asks the next candidate for a reservation.
 func (r *runner) reserveNext() {
 	if len(r.candidates) == 0 {
@@ -189,7 +213,7 @@
 	t := r.candidates[0]
 	r.candidates = r.candidates[1:]
 	r.pending = append(r.pending, r.openDecode(t))
-	r.entry.hints.noteSent(t.upstream)
+	r.entry.hints.noteSent(t.upstream, 0)
 	r.record("reserve", t.upstream, "")
 }
 
@@ -259,6 +283,7 @@
 		return nil
 	}
 	r.decode = c
+	r.charge()
 	if !r.accepted {
 		r.entry.retries.first(r.snap.Policy.RetryBudget, r.req.Caller.Name, c.target.upstream)
 		r.entry.accounts.of(r.req.Caller.Name).granted(time.Since(r.req.Accepted))
@@ -281,6 +306,7 @@
 	r.record("refused", c.target.upstream, f.Kind.String()+" "+f.Detail)
 	r.refusals = append(r.refusals, f)
 	if c == r.decode {
+		r.settleCharge()
 		r.decode = nil
 	}
 	r.dropPending(c, "refused")
@@ -385,16 +411,32 @@
 		return fault.New(fault.KindUpstreamFailed, "send the request again later",
 			"the request failed on %d upstreams", r.req.Attempt()).WithOutcome(fault.Unknown).WithCause(f)
 	}
-	r.entry.log.Warn("attempt failed; trying another upstream",
+	r.entry.limited.Log(log.WarnLevel, "retry/"+f.kind.String(), "attempt failed; trying another upstream",
 		"request", r.req.ID, "attempt", r.req.Attempt(), "upstream", f.upstream, "kind", f.kind.String(), "detail", f.detail)
 	return nil
 }
 
+// charge notes the cost of the granted reservation; settleCharge replaces the
+// predicted output by the real one when the attempt has ended.
+func (r *runner) charge() {
+	r.charged = float64(r.req.PromptTokens) + outputWeight*float64(r.req.Delivered()+r.entry.predict(r.req))
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.DecodePool, r.decode.target.upstream, r.charged)
+}
+
+func (r *runner) settleCharge() {
+	real := float64(r.req.PromptTokens) + outputWeight*float64(r.req.Delivered())
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.DecodePool, r.decode.target.upstream, real-r.charged)
+}
+
 func (r *runner) closeReservations(reason string) {
 	for _, p := range r.pending {
 		p.close(cancelDecode(reason))
 	}
 	r.pending = nil
+	if r.decode == nil {
+		return
+	}
+	r.settleCharge()
 	r.decode.close(cancelDecode(reason))
 	r.decode = nil
 }
