Run one prefill at a time; make an engine idle before its role changes

A second prefill waited in the engine's queue, out of fair order, and its duration was measured twice too long. One silent connection no longer counts as a silent engine.

--- a/internal/sidecar/aggregates_test.go
+++ b/internal/sidecar/aggregates_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/engine"
 )
 
 // Guards against slots or chunks that are owned twice, lost or never given to
@@ -157,3 +160,24 @@
 		t.Fatalf("%d remembered", s.Remembered())
 	}
 }
+
+// BenchmarkTick measures what a full engine with a long queue costs per look at
+// the forecasts, which happens every tickInterval.
+func BenchmarkTick(b *testing.B) {
+	d := newDesk(config.Static{Current: config.Build(1, config.Objects{})})
+	d.setInfo(engine.Info{Role: engine.RoleDecode, Slots: 20, CapacityTokens: 80_000, ChunkTokens: 2000})
+	d.setUp(true)
+	for i := range 200 {
+		m := reserveFrame(fmt.Sprint(i), fmt.Sprint("caller-", i%16))
+		m.PromptTokens, m.PrefillMs = uint64(500+i*10), 10
+		if c, ref := d.admitDecode(m); ref == nil && len(c.granted) > 0 {
+			d.start(c, 0, 400)
+		}
+	}
+	if d.decode.queue.Len() < 150 {
+		b.Fatalf("%d queued", d.decode.queue.Len())
+	}
+	for b.Loop() {
+		d.tick()
+	}
+}
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	up       bool
 	leaving  bool
+	changing bool // the role is about to change
 	role     engine.Role
 	info     engine.Info
 	suspects *Suspects
@@ -60,6 +61,8 @@
 		return leaving()
 	case !d.up:
 		return engineDown()
+	case d.changing:
+		return roleChanges()
 	case d.role != role:
 		return &refusal{kind: wire.RefusalKind_REFUSAL_WRONG_ROLE, detail: "the engine has the role " + string(d.role)}
 	case d.live[c.id] != nil:
@@ -153,7 +156,7 @@
 		shape.Chunks = info.CapacityTokens / info.ChunkTokens
 	}
 	d.decode.res.Reshape(shape)
-	d.prefill.holds.Reshape(shape, prefillLimit(info))
+	d.prefill.holds.Reshape(shape)
 	d.prefill.setRate(info.PrefillTokensPerS)
 }
 
@@ -179,6 +182,17 @@
 	d.refuseWaiting(*leaving())
 }
 
+// setChanging refuses work while the engine's role is about to change, so that
+// the engine becomes idle.
+func (d *desk) setChanging(changing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if changing && !d.changing {
+		d.refuseWaiting(*roleChanges())
+	}
+	d.changing = changing
+}
+
 func (d *desk) refuseWaiting(r refusal) {
 	refuseQueue(d.decode.queue, r)
 	refuseQueue(d.prefill.queue, r)
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -112,21 +112,18 @@
 func (d *desk) grantDecodes() {
 	q := &d.decode
 	anticipation := d.config.Snapshot().Policy.Anticipation
-	for {
+	for q.queue.Len() > 0 {
 		now := d.now()
+		free := newForecasts(q.res, now, q.step)
 		it := q.queue.Pop(now, func(it *fairqueue.Item) bool {
 			c := it.Value.(*decodeClaim)
-			if !d.suspects.MayRun(c.suspect) {
-				return false
-			}
-			_, ok := q.res.Forecast(now, c.res, q.step, anticipation)
-			return ok
+			return d.suspects.MayRun(c.suspect) && free.fits(c.res, anticipation)
 		})
 		if it == nil {
 			return
 		}
 		c := it.Value.(*decodeClaim)
-		freeIn, _ := q.res.Forecast(now, c.res, q.step, anticipation)
+		freeIn := free.in(c.res.Chunks)
 		if q.res.Grant(now, c.res) {
 			freeIn = 0
 		}
@@ -230,7 +227,7 @@
 
 // decodeWait estimates how long a queued claim waits.
 func (d *desk) decodeWait(c *decodeClaim) time.Duration {
-	freeIn, _ := d.decode.res.Forecast(d.now(), c.res, d.decode.step, 1)
+	freeIn := newForecasts(d.decode.res, d.now(), d.decode.step).in(c.res.Chunks)
 	return max(0, freeIn) + queueWait(d.decode.queue, c.item, d.decodeRate())
 }
 
--- a/internal/sidecar/desk_prefill.go
+++ b/internal/sidecar/desk_prefill.go
@@ -10,8 +10,10 @@
 
 const (
 	// prefillConcurrency is the number of prefills submitted at once. A prefill
-	// uses the whole engine; the second one covers the time between two calls.
-	prefillConcurrency = 2
+	// uses the whole engine: a second one would wait in the engine's own queue,
+	// out of fair order, and would seem to take twice as long. The gap between
+	// two calls is below a millisecond.
+	prefillConcurrency = 1
 	// initialPrefillRate in tokens/s applies until the engine tells its own.
 	initialPrefillRate = 5000
 	rateWeight         = 0.1
@@ -30,8 +32,6 @@
 	holds *Holds
 	rate  float64 // tokens/s, measured
 	told  float64 // tokens/s, as the engine tells it
-
-	lastDone time.Duration
 }
 
 func newPrefillDesk() prefillDesk {
@@ -42,13 +42,6 @@
 	}
 }
 
-func prefillLimit(info engine.Info) int {
-	if info.Slots > 0 {
-		return min(info.Slots, prefillConcurrency)
-	}
-	return prefillConcurrency
-}
-
 func (p *prefillDesk) setRate(told float64) {
 	if told > 0 && told != p.told {
 		p.told, p.rate = told, told
@@ -113,17 +106,14 @@
 	defer d.mu.Unlock()
 	p := &d.prefill
 	p.holds.Ready(d.now(), c.id, r.Handle, r.Tokens, time.Duration(r.HoldMS)*time.Millisecond)
-	p.observe(d.now(), r.Tokens-r.CachedTokens, took)
+	p.observe(r.Tokens-r.CachedTokens, took)
 	d.suspects.Exit(c.id)
 	d.suspects.Unclaim(c.id)
 	d.pump()
 }
 
-// observe measures the rate. A prefill that began before the last one ended was
-// queued in the engine until then.
-func (p *prefillDesk) observe(now time.Duration, computed int, took time.Duration) {
-	took = min(took, now-p.lastDone)
-	p.lastDone = now
+// observe measures the rate.
+func (p *prefillDesk) observe(computed int, took time.Duration) {
 	if computed > 0 && took > 0 {
 		p.rate += rateWeight * (float64(computed)/took.Seconds() - p.rate)
 	}
--- a/internal/sidecar/hold.go
+++ b/internal/sidecar/hold.go
@@ -31,7 +31,7 @@
 }
 
 // Reshape sets what the engine can hold.
-func (h *Holds) Reshape(s Shape, limit int) { h.shape, h.limit = s, limit }
+func (h *Holds) Reshape(s Shape) { h.shape = s }
 
 func (h *Holds) need(tokens int) int {
 	if h.shape.ChunkTokens <= 0 {
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -120,6 +120,10 @@
 
 func (m *monitor) ask(ctx context.Context) EngineState {
 	info, err := m.client.Info(ctx)
+	if errors.Is(err, engine.ErrSilent) && ctx.Err() == nil {
+		// One silent connection says nothing about the engine; a new one does.
+		info, err = m.client.Info(ctx)
+	}
 	switch {
 	case ctx.Err() != nil:
 		_, s := m.get()
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -108,6 +108,12 @@
 	return o.give(ctx, order, f)
 }
 
+// Available reports whether a fencing token could be obtained now.
+func (o *Orders) Available(ctx context.Context) error {
+	_, _, err := o.read(ctx)
+	return err
+}
+
 // take obtains the next token.
 func (o *Orders) take(ctx context.Context) (fence, error) {
 	for range fenceAttempts {
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -8,8 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/engine"
 	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
 // fakeKV is a key-value service that can lose acknowledgements and be down.
@@ -117,3 +119,44 @@
 		}
 	})
 }
+
+// Guards against a role that never changes because requests keep coming, and
+// against a change that interrupts one.
+func TestRoleFollowsThePool(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	f.outputTokens = 200
+	inRig(t, f, func(r *rig) {
+		running := r.decode(reserveFrame("a", "x"))
+		defer running.Close()
+		running.until(isGranted)
+		running.start("h")
+		running.until(isTokens)
+		r.side.orders.o.KV = &fakeKV{}
+		r.side.o.Config = config.Static{Current: config.Build(2, config.Objects{
+			Pools:     []*config.Pool{{Name: "p", Role: config.RolePrefill}},
+			Upstreams: []*config.Upstream{{Name: "up", Pool: "p"}},
+		})}
+		if err := r.side.keepRole(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		late := r.decode(reserveFrame("b", "x"))
+		defer late.Close()
+		if m := late.until(isLast); m.GetRefused().GetKind() != wire.RefusalKind_REFUSAL_WRONG_ROLE {
+			t.Fatalf("got %v, want a refusal", m)
+		}
+		if m := running.until(isLast); m.GetDone().GetTotalTokens() != 200 {
+			t.Fatalf("got %v, want the whole answer", m)
+		}
+		time.Sleep(time.Second)
+		for range 2 { // issues the order, then sees it in effect
+			if err := r.side.keepRole(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		p := r.prefill(prefillFrame("c", "x"))
+		defer p.Close()
+		if p.until(isReady) == nil {
+			t.Fatal("no prefill in the new role")
+		}
+	})
+}
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -21,6 +21,10 @@
 	return &refusal{kind: wire.RefusalKind_REFUSAL_ENGINE_DOWN, detail: "the engine does not answer; choose another upstream"}
 }
 
+func roleChanges() *refusal {
+	return &refusal{kind: wire.RefusalKind_REFUSAL_WRONG_ROLE, detail: "the engine's role is being changed; choose another upstream"}
+}
+
 func tooLarge(detail string) *refusal {
 	return &refusal{kind: wire.RefusalKind_REFUSAL_TOO_LARGE, detail: detail}
 }
--- a/internal/sidecar/reservation.go
+++ b/internal/sidecar/reservation.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/fescueslip/fescueslip/internal/policy/reserve"
 )
 
 // startMargin is added to the announced prefill time before a slot that is
@@ -115,36 +113,6 @@
 	return slots-promisedSlots >= 1 && free-promisedChunks >= chunks
 }
 
-// Forecast returns when a place for x is expected to be free, after all that was
-// granted before, and whether x may be granted now.
-func (r *Reservations) Forecast(now time.Duration, x *Reservation, step time.Duration, anticipation float64) (freeIn time.Duration, ok bool) {
-	promisedSlots, promisedChunks := r.Promised()
-	slots, chunks := r.Free()
-	need := reserve.Need{
-		Chunks:     x.Chunks,
-		FreeChunks: chunks - promisedChunks,
-		FreeSlots:  slots - promisedSlots,
-		Prefill:    x.PrefillTime,
-	}
-	return reserve.Forecast(r.streams(), now, step, need, anticipation)
-}
-
-// streams lists what was granted, for the forecast.
-func (r *Reservations) streams() []reserve.Stream {
-	out := make([]reserve.Stream, 0, len(r.list))
-	for _, x := range r.list {
-		if x.state == foreign {
-			continue
-		}
-		s := reserve.Stream{RemainingTokens: float64(x.Predicted), Chunks: x.Chunks}
-		if x.state != started {
-			s.StartsAt = x.granted + x.PrefillTime
-		}
-		out = append(out, s)
-	}
-	return out
-}
-
 // Grant adds a reservation. It is firm when it fits now and anticipated
 // otherwise; the caller decides whether to anticipate.
 func (r *Reservations) Grant(now time.Duration, x *Reservation) (isFirm bool) {
--- a/internal/sidecar/roles.go
+++ b/internal/sidecar/roles.go
@@ -32,6 +32,8 @@
 	}
 }
 
+// keepRole changes the role once the engine is idle. Work is refused meanwhile,
+// but only when an order can be issued at all.
 func (s *Sidecar) keepRole(ctx context.Context) error {
 	b, _ := s.monitor.get()
 	want, revision, ok := s.wantedRole()
@@ -39,13 +41,23 @@
 		return nil
 	}
 	if b.info.Role == want {
+		s.desk.setChanging(false)
 		return s.orders.Recheck(ctx)
 	}
+	if err := s.orders.Available(ctx); err != nil {
+		s.desk.setChanging(false)
+		return err
+	}
+	s.desk.setChanging(true)
 	if s.desk.busy() {
-		return nil // a change of role would interrupt what runs
+		return nil
 	}
 	id := fmt.Sprintf("%s-role-%s-%d", s.o.Upstream, want, revision)
-	return s.orders.Issue(ctx, engine.Order{ID: id, Kind: engine.OrderSetRole, Role: want})
+	if err := s.orders.Issue(ctx, engine.Order{ID: id, Kind: engine.OrderSetRole, Role: want}); err != nil {
+		return err
+	}
+	s.monitor.probe(ctx)
+	return nil
 }
 
 // wantedRole is the role of the upstream's pool.
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -138,12 +138,22 @@
 		QueuedCost: uint64(q.queue.Cost()),
 		Leaving:    d.leaving,
 	}
-	if rate := d.decodeRate(); rate > 0 {
-		l.WaitMs = uint64(1000 * q.queue.Cost() / rate)
+	if free == 0 || slots <= promisedSlots {
+		l.WaitMs = d.decodeLoadWait()
 	}
 	return l
 }
 
+// decodeLoadWait is the wait of a small request behind the whole queue, in ms.
+func (d *desk) decodeLoadWait() uint64 {
+	q := &d.decode
+	wait := millis(newForecasts(q.res, d.now(), q.step).in(1))
+	if rate := d.decodeRate(); rate > 0 {
+		wait += uint64(1000 * q.queue.Cost() / rate)
+	}
+	return wait
+}
+
 func (d *desk) prefillLoad() *wire.Load {
 	p := &d.prefill
 	running, _, free := p.holds.Counts()
