--- a/internal/sidecar/aggregates_test.go
+++ b/internal/sidecar/aggregates_test.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -161,6 +164,70 @@
 	}
 }
 
+// Guards against prefill memory that is promised twice or never given back.
+func TestHolds(t *testing.T) {
+	h := NewHolds(Shape{Chunks: 4, ChunkTokens: 100}, 1)
+	if h.TooLarge(400) || !h.TooLarge(401) || !h.Fits(400) {
+		t.Fatal("wrong size limits")
+	}
+	h.Begin("a", 200)
+	if h.Fits(100) {
+		t.Fatal("a second prefill at once")
+	}
+	h.Ready(time.Second, "a", "h", 300, time.Second)
+	if !h.Fits(100) || h.Fits(101) || h.Expired(1999*time.Millisecond, "a") || !h.Expired(2*time.Second, "a") {
+		t.Fatal("the held output does not count as it is")
+	}
+	h.Occupy("orphan", 100)
+	if h.Fits(1) {
+		t.Fatal("an orphan's memory was promised")
+	}
+	h.Evict("a")
+	h.Release("a")
+	h.Release("orphan")
+	if _, _, free := h.Counts(); free != 4 || h.Evicted != 1 {
+		t.Fatalf("%d chunks free, %d evicted", free, h.Evicted)
+	}
+}
+
+// Guards against more imports at once than the link takes, and against places
+// that are lost when a waiting import is given up.
+func TestTransfersShareTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewTransferScheduler(2, 1000)
+		if d := s.Deadline(500); d != transferBase+2*time.Second {
+			t.Fatalf("deadline %v, want twice the time at half the rate and the base", d)
+		}
+		var mu sync.Mutex
+		active, most, done := 0, 0, 0
+		count := func(change, ended int) {
+			mu.Lock()
+			defer mu.Unlock()
+			active += change
+			most = max(most, active)
+			done += ended
+		}
+		for i := range 20 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%7+1)*10*time.Millisecond)
+			go func() {
+				defer cancel()
+				if s.Acquire(ctx) != nil {
+					return
+				}
+				count(1, 0)
+				time.Sleep(10 * time.Millisecond)
+				count(-1, 1)
+				s.Release(false)
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		if st := s.State(); most != 2 || st.Active != 0 || st.Waiting != 0 || st.Done != done || done < 8 {
+			t.Fatalf("at most %d at once, %d done, %+v", most, done, st)
+		}
+	})
+}
+
 // BenchmarkTick measures what a full engine with a long queue costs per look at
 // the forecasts, which happens every tickInterval.
 func BenchmarkTick(b *testing.B) {
--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -188,7 +188,7 @@
 		SourceURL:     start.GetSourceUrl(),
 		Handle:        start.GetHandle(),
 		ReserveTokens: x.s.desk.reserveTokens(x.c),
-		Timeout:       t.Deadline(int64(start.GetKvBytes())),
+		Timeout:       t.Deadline(x.s.desk.kvBytes(x.c, start)),
 	})
 	x.c.work.calls.Done()
 	t.Release(errors.Is(err, engine.ErrSilent))
@@ -247,7 +247,7 @@
 	switch {
 	case x.ctx.Err() != nil:
 		return true
-	case errors.Is(err, engine.ErrUnreachable) && x.s.monitor.verify(x.s.life, b), b.lost():
+	case hintsCrash(err) && x.s.monitor.verify(x.s.life, b), b.lost():
 		x.c.work.cleared()
 		x.release()
 		x.failed(wire.FailureKind_FAILURE_ENGINE_LOST, errEngineLost.Error())
@@ -261,6 +261,12 @@
 	return false
 }
 
+// hintsCrash reports whether the engine may have died: the connection broke, or
+// the engine has forgotten the import.
+func hintsCrash(err error) bool {
+	return errors.Is(err, engine.ErrUnreachable) || engine.IsCode(err, engine.CodeNotImported)
+}
+
 func (x *decodeSession) refused(r *refusal) {
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -168,6 +168,16 @@
 	return c.res.Chunks * d.decode.res.Shape().ChunkTokens
 }
 
+// kvBytes returns the size of the transfer, estimated when it is not told.
+func (d *desk) kvBytes(c *decodeClaim, start *wire.Start) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := start.GetKvBytes(); n > 0 {
+		return int64(n)
+	}
+	return int64(c.prompt) * d.info.KVBytesPerToken
+}
+
 // settle records what the engine holds after an import.
 func (d *desk) settle(c *decodeClaim, heldTokens int) {
 	d.mu.Lock()
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
 
+// drainRecheck spaces the looks of a drain when no session ends.
+const drainRecheck = 20 * time.Millisecond
+
 // sessions are the open streams whose work was taken.
 type sessions struct {
 	mu      sync.Mutex
@@ -61,13 +65,14 @@
 	s.Leave()
 	for {
 		n, changed := s.sessions.left()
-		if n == 0 {
+		if n == 0 && !s.desk.busy() {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(context.Cause(ctx), "drain: %d requests are still running", n)
 		case <-changed:
+		case <-time.After(drainRecheck): // a claim whose session is about to open
 		}
 	}
 }
