End a stream at the sidecar as soon as the entry cancels it

A cancelled context did not reset the HTTP/2 stream while the request body was open, so the sidecar heard of a caller that had left by the silence of 2 s only.

--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -173,6 +173,10 @@
 	s.write = pw
 	s.flush = func() error { return nil }
 	s.lastRecv.Store(int64(time.Since(s.start)))
+	// The HTTP/2 client looks at the context only before the response and after
+	// the whole request body. Closing the body is what resets the stream in
+	// between; without it the sidecar would hear of a cancel by silence only.
+	context.AfterFunc(s.ctx, s.closeAll)
 	return s, nil
 }
 
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -129,3 +130,31 @@
 		}
 	})
 }
+
+// Guards against a request that ends at the entry while the sidecar hears of it
+// only by the silence that follows: its engine memory would stay held.
+func TestCancelledStreamEndsAtTheServerAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(0)
+		serverEnd := make(chan time.Time, 1)
+		stop := serve(t, n, func(s *wire.Stream[*wire.DecodeReply, *wire.DecodeRequest]) {
+			_, _ = s.Recv()
+			serverEnd <- time.Now()
+		})
+		defer stop()
+		hc := wire.NewClient(n.Dial)
+		defer hc.CloseIdleConnections()
+		ctx, cancel := context.WithCancel(t.Context())
+		s, err := wire.Dial[*wire.DecodeRequest](ctx, hc, "http://sidecar:1/stream/decode", testSecret, newReply)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		time.Sleep(100 * time.Millisecond)
+		cancelled := time.Now()
+		cancel()
+		if d := (<-serverEnd).Sub(cancelled); d > 10*time.Millisecond {
+			t.Fatalf("the server heard of the cancel after %v", d)
+		}
+	})
+}
