--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 )
@@ -15,6 +16,7 @@
 type modelCall struct {
 	client     *http.Client
 	url, key   string
+	entry      int // index of the entry that url names
 	chat       bool
 	stream     bool
 	prompt     string
@@ -29,6 +31,12 @@
 	errorKind string
 	text      string
 	done      bool // a stream ended in [DONE], or a whole body arrived
+	// malformed tells what is wrong with a stream: a repeated [DONE] or data after it.
+	malformed string
+	// connected tells that the entry took the connection.
+	connected bool
+	begun     time.Time
+	ended     time.Time
 	left      bool
 	err       error
 	ttft      time.Duration
@@ -83,15 +91,17 @@
 	return c.prompt
 }
 
-func (c modelCall) run(ctx context.Context) modelResult {
+func (c modelCall) run(ctx context.Context) (result modelResult) {
 	if c.leaveAfter > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.leaveAfter)
 		defer cancel()
 	}
-	var result modelResult
 	begin := time.Now()
-	resp, err := c.send(ctx)
+	result.begun = begin
+	defer func() { result.ended = time.Now() }()
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { result.connected = true }}
+	resp, err := c.send(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
 		result.err, result.left = err, ctx.Err() != nil
 		return result
@@ -141,6 +151,9 @@
 		if !ok {
 			continue
 		}
+		if result.done {
+			result.malformed = "data after [DONE]: " + data
+		}
 		if data == "[DONE]" {
 			result.done = true
 			continue
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -99,6 +99,7 @@
 	list     *instances.Server
 	weights  *weights.Store
 	engines  []*engine.Engine
+	journal  *engine.Journal
 	orders   *booking.Orders
 	bookings []*booking.Server
 	registry *control.Registry
@@ -120,6 +121,7 @@
 		logger:   o.Logger,
 		orders:   booking.NewOrders(),
 		registry: control.NewRegistry(),
+		journal:  engine.NewJournal(),
 		stopping: make(chan struct{}),
 	}
 	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.applyFirstTicket, f.startNodes, f.startControl, f.waitReady}
@@ -153,7 +155,7 @@
 }
 
 func (f *Fleet) startUpstreams(context.Context) error {
-	journal := engine.NewJournal()
+	journal := f.journal
 	for i := range f.options.Prefills {
 		if err := f.startEngine(fmt.Sprintf("prefill-%d", i+1), engine.Prefill, journal, i); err != nil {
 			return err
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -24,6 +25,10 @@
 	Seed                 uint64
 	// Prompt makes the prompt of request i; nil selects random ones.
 	Prompt func(i int) string
+
+	// began and ended tell tests of each model call.
+	began func(call modelCall)
+	ended func(call modelCall, result modelResult)
 }
 
 // DefaultLoad is the load of demo -for.
@@ -75,6 +80,7 @@
 	arrivals.Go(func() { d.arrive(ctx, load.BookingRate, d.booking) })
 	arrivals.Wait()
 	d.wait.Wait()
+	d.lookUpBookings(ctx)
 	f.checkAfter(d.report)
 	return d.report
 }
@@ -144,7 +150,14 @@
 	if d.float(func(r *rand.Rand) float64 { return r.Float64() }) < d.load.CancelShare {
 		call.leaveAfter = time.Duration(1+d.intN(1500)) * time.Millisecond
 	}
+	call.entry = i % d.fleet.options.Entries
+	if d.load.began != nil {
+		d.load.began(call)
+	}
 	result := call.run(ctx)
+	if d.load.ended != nil {
+		d.load.ended(call, result)
+	}
 	d.report.addModel(call, result, d.expected(call))
 }
 
@@ -165,7 +178,7 @@
 func (d *driver) booking(ctx context.Context, i int) {
 	id := fmt.Sprintf("booking-%d-%d", d.load.Seed, i)
 	keyed := i%4 != 0
-	b := bookingResult{id: id, keyed: keyed}
+	b := bookingResult{id: id, keyed: keyed, caller: caller(i)}
 	for try := range 1 + d.load.Resend {
 		call := plainCall{
 			client: d.client,
@@ -179,6 +192,9 @@
 		}
 		r := call.run(ctx)
 		b.results = append(b.results, r)
+		if keyed && try%2 == 0 {
+			d.report.addOutcome(d.lookUpOutcome(ctx, i+try+1, call.key, id))
+		}
 		if r.status/100 == 2 || (!keyed && r.outcome != "not-run") {
 			break
 		}
@@ -186,3 +202,26 @@
 	}
 	d.report.addBooking(b)
 }
+
+// lookUpOutcome asks an entry what became of a key.
+func (d *driver) lookUpOutcome(ctx context.Context, entry int, key, id string) outcomeLookup {
+	l := outcomeLookup{id: id, before: d.fleet.orders.Count(id)}
+	r := plainCall{client: d.client, method: http.MethodGet, url: d.entryURL(entry) + "/v1/outcomes/" + id, key: key}.run(ctx)
+	l.status, l.after = r.status, d.fleet.orders.Count(id)
+	if r.err == nil && r.status == http.StatusOK {
+		l.err = json.Unmarshal([]byte(r.body), &l)
+	}
+	return l
+}
+
+// lookUpBookings asks every entry for every key once the load has ended.
+func (d *driver) lookUpBookings(ctx context.Context) {
+	for _, b := range d.report.Bookings {
+		if !b.keyed {
+			continue
+		}
+		for entry := range d.fleet.options.Entries {
+			d.report.addOutcome(d.lookUpOutcome(ctx, entry, b.caller, b.id))
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/operators_test.go
@@ -0,0 +1,49 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/platform"
+)
+
+// operator applies tickets that race with those of other operators: all draw
+// their numbers from the same small range and touch the same object.
+func (w *watch) operator(ctx context.Context, name string, r *rand.Rand, tickets int, gap time.Duration) error {
+	kv, err := platform.NewClient(platform.ClientOptions{URL: "http://" + w.fleet.kv.Addr().String(), Dial: w.fleet.network.Dial})
+	if err != nil {
+		return err
+	}
+	defer kv.Close()
+	store := configstore.New(configstore.Options{KV: kv})
+	for i := range tickets {
+		time.Sleep(time.Duration(r.ExpFloat64() * float64(gap)))
+		if err := w.apply(ctx, store, uint64(10+i), name, 1+r.IntN(5)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// apply applies one ticket. Refusals and a store that is away are normal.
+func (w *watch) apply(ctx context.Context, store *configstore.Store, number uint64, name string, share int) error {
+	text := fmt.Sprintf("ticket: %d\nobjects:\n  - kind: caller\n    name: raced\n    spec: {key_sha256: \"%064x\", share: %d}\n", number, len(name)*100+share, share)
+	ticket, err := config.ParseTicket(name, []byte(text))
+	if err != nil {
+		return errors.Wrap(err, "ticket of "+name)
+	}
+	result, err := store.Accept(ctx, ticket)
+	if err != nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.accepted = append(w.accepted, acceptedTicket{number: number, revision: result.Revision, at: time.Now()})
+	return nil
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -6,14 +6,18 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/engine"
 )
 
 // bookingResult is what a caller saw of one booking over all its sends.
 type bookingResult struct {
 	id      string
+	caller  string
 	keyed   bool
 	results []plainResult
 }
@@ -34,6 +38,10 @@
 	Bookings  []bookingResult
 	// PrefillTokens and WastedPrefillTokens are the engines' counts.
 	PrefillTokens, WastedPrefillTokens int
+	// Unanswered are the accepted requests that ended without an answer.
+	Unanswered []unanswered
+	refused    []string // ids of the requests that were refused as not run
+	outcomes   []outcomeLookup
 	// Broken lists the promises that broke, with what was seen.
 	Broken []string
 }
@@ -46,30 +54,72 @@
 	r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
 }
 
+// unanswered is an accepted request that ended without its answer.
+type unanswered struct {
+	entry        int
+	requestID    string
+	kind         string
+	begun, ended time.Time
+}
+
 // addModel judges one model call by what its caller saw.
 func (r *Report) addModel(call modelCall, m modelResult, want string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Requests++
+	r.checkText(m, want)
 	switch {
 	case m.left && !m.done:
 		r.Cancelled++
-		return
-	case m.err != nil || m.status == 0:
-		r.Failures["connection lost"]++
-		return
+	case !m.connected:
+		r.Failures["entry not reached"]++
 	case m.outcome == "not-run":
 		r.Refusals[m.errorKind]++
-		return
+		r.refused = append(r.refused, m.requestID)
+	case m.err != nil || m.status == 0:
+		r.addUnanswered(call, m, "connection lost")
 	case m.status != 200 || m.errorKind != "" || !m.done:
-		r.Failures[cmp.Or(m.errorKind, "no end of stream")]++
+		r.addUnanswered(call, m, cmp.Or(m.errorKind, "no end of stream"))
+	default:
+		r.Finished++
+		r.addTimes(call, m)
+	}
+}
+
+func (r *Report) addUnanswered(call modelCall, m modelResult, kind string) {
+	r.Failures[kind]++
+	r.Unanswered = append(r.Unanswered, unanswered{entry: call.entry, requestID: m.requestID, kind: kind, begun: m.begun, ended: m.ended})
+}
+
+// checkText compares what the caller was given with the only right answer: a
+// part of an answer must be its beginning.
+func (r *Report) checkText(m modelResult, want string) {
+	if m.malformed != "" {
+		r.broken("one end: request %s got %s", m.requestID, m.malformed)
+	}
+	if !strings.HasPrefix(want, m.text) {
+		r.broken("own answer, each part once: request %s got %q, want %q", m.requestID, m.text, want)
 		return
 	}
-	r.Finished++
-	if m.text != want {
-		r.broken("whole answer: request %s got %d bytes, want %d", m.requestID, len(m.text), len(want))
+	if m.done && m.errorKind == "" && len(m.text) < len(want) {
+		r.broken("whole answer: request %s got %d of %d bytes", m.requestID, len(m.text), len(want))
+	}
+	if m.done && m.errorKind != "" {
+		r.broken("whole answer: request %s got the error %s and [DONE]", m.requestID, m.errorKind)
+	}
+}
+
+// checkRefused looks for work of requests whose caller was told that nothing ran.
+func (r *Report) checkRefused(j *engine.Journal) {
+	for _, id := range r.refused {
+		if id == "" {
+			r.broken("truthful not-run: a refusal has no request id")
+			continue
+		}
+		for _, x := range j.Executions(id) {
+			r.broken("truthful not-run: request %s was refused as not run, but %s ran its %s", id, x.Engine, x.Work)
+		}
 	}
-	r.addTimes(call, m)
 }
 
 func (r *Report) addTimes(call modelCall, m modelResult) {
@@ -107,6 +157,38 @@
 	r.Bookings = append(r.Bookings, b)
 }
 
+// outcomeLookup is what GET /v1/outcomes/{key} said about a booking, and how
+// often the service had executed it before and after.
+type outcomeLookup struct {
+	id            string
+	status        int
+	before, after int
+	err           error
+
+	State   string `json:"state"`
+	Outcome string `json:"outcome"`
+}
+
+func (r *Report) addOutcome(l outcomeLookup) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, l)
+}
+
+// checkOutcomes compares what lookups said with what the service had executed then.
+func (r *Report) checkOutcomes() {
+	for _, l := range r.outcomes {
+		switch {
+		case l.err != nil:
+			r.broken("truthful outcome: lookup of %s: %v", l.id, l.err)
+		case l.State == "done" && l.after == 0:
+			r.broken("truthful outcome: lookup of %s said done, but it never ran", l.id)
+		case l.State == "not-run" && l.before > 0:
+			r.broken("truthful outcome: lookup of %s said not-run after it had run %d times", l.id, l.before)
+		}
+	}
+}
+
 // checkBookings compares what callers were told with what the service executed.
 func (r *Report) checkBookings(executions map[string]int) {
 	for _, b := range r.Bookings {
@@ -117,8 +199,10 @@
 		if allNotRun(b.results) && count > 0 {
 			r.broken("truthful not-run: booking %s ran although every answer said not-run", b.id)
 		}
-		if last := b.results[len(b.results)-1]; last.status/100 == 2 && count == 0 {
-			r.broken("truthful answer: booking %s never ran although it was confirmed", b.id)
+		for i, p := range b.results {
+			if p.status/100 == 2 && count == 0 {
+				r.broken("truthful answer: booking %s never ran although answer %d confirmed it", b.id, i+1)
+			}
 		}
 	}
 }
@@ -134,6 +218,8 @@
 // checkAfter checks the promises that show once the load has ended.
 func (f *Fleet) checkAfter(r *Report) {
 	r.checkBookings(f.orders.Executions())
+	r.checkOutcomes()
+	r.checkRefused(f.journal)
 	deadline := time.Now().Add(memoryDeadline)
 	for f.heldTokens() > 0 && time.Now().Before(deadline) {
 		time.Sleep(20 * time.Millisecond)
--- a/internal/demo/schedule_test.go
+++ b/internal/demo/schedule_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,31 +57,54 @@
 	}
 }
 
-// runSchedule runs a load with faults and returns the report.
-func runSchedule(ctx context.Context, t *testing.T, seed uint64) (*Report, []fault) {
+// settleTime is the time after the last fault in which everything must be as
+// promised again.
+const settleTime = 8 * time.Second
+
+// runSchedule runs a load with faults and racing tickets and returns what broke.
+func runSchedule(ctx context.Context, t *testing.T, seed uint64) ([]string, []fault) {
 	f, err := Start(ctx, testOptions(t))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer time.Sleep(stopBubbleEnd)
 	defer f.Stop()
+	w := newWatch(f)
 	schedule := randomSchedule(f, seed)
-	go func() {
-		begin := time.Now()
-		for _, step := range schedule {
-			time.Sleep(step.at - time.Since(begin))
-			t.Log(step)
-			if err := f.registry.Start(step.target, step.kind, step.length); err != nil {
-				t.Errorf("%s: %v", step, err)
+	var background sync.WaitGroup
+	background.Go(func() { w.runFaults(t, schedule) })
+	for i := range 2 {
+		background.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(i+1)))
+			if err := w.operator(ctx, fmt.Sprint("operator", strings.Repeat("+", i)), r, 8, time.Second); err != nil {
+				t.Error(err)
 			}
-		}
-	}()
+		})
+	}
 	load := DefaultLoad(scheduleLoad)
 	load.Seed = seed
 	load.ModelRate = 5
 	load.MaxPrompt = 3000
 	load.MaxOutput = 120
-	return f.Run(ctx, load), schedule
+	load.CancelShare = 0.2
+	load.began, load.ended = w.began, w.ended
+	r := f.Run(ctx, load)
+	background.Wait()
+	time.Sleep(settleTime)
+	return w.finish(r), schedule
+}
+
+// runFaults starts the faults of a schedule at their times.
+func (w *watch) runFaults(t *testing.T, schedule []fault) {
+	begin := time.Now()
+	for _, step := range schedule {
+		time.Sleep(step.at - time.Since(begin))
+		t.Log(step)
+		w.noteFault(step.target, step.kind, step.length)
+		if err := w.fleet.registry.Start(step.target, step.kind, step.length); err != nil {
+			t.Errorf("%s: %v", step, err)
+		}
+	}
 }
 
 // Guards against a broken promise under random faults, alone, together and in a
@@ -93,15 +117,15 @@
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				r, schedule := runSchedule(t.Context(), t, seed)
-				if len(r.Broken) == 0 {
+				broken, schedule := runSchedule(t.Context(), t, seed)
+				if len(broken) == 0 {
 					return
 				}
 				var steps strings.Builder
 				for _, s := range schedule {
 					fmt.Fprintln(&steps, s)
 				}
-				t.Errorf("seed %d broke:\n%s\nschedule:\n%s", seed, strings.Join(r.Broken, "\n"), steps.String())
+				t.Errorf("seed %d broke:\n%s\nschedule:\n%s", seed, strings.Join(broken, "\n"), steps.String())
 			})
 		})
 	}
--- a/internal/standin/engine/journal.go
+++ b/internal/standin/engine/journal.go
@@ -178,3 +178,14 @@
 	defer j.mu.Unlock()
 	j.wasted[engine] += n
 }
+
+// All returns every recorded execution in order of its start.
+func (j *Journal) All() []Execution {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	all := make([]Execution, len(j.executions))
+	for i, x := range j.executions {
+		all[i] = *x
+	}
+	return all
+}
