--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -82,6 +82,8 @@
 	Decodes   int
 	Bookings  int
 	Params    costmodel.Params
+	// PoisonDecode lets poison prompts crash decode engines only.
+	PoisonDecode bool
 }
 
 // DefaultOptions returns the demo's sizes.
@@ -179,6 +181,10 @@
 	if err != nil {
 		return err
 	}
+	poison, poisonDecode := poisonMarker, ""
+	if f.options.PoisonDecode {
+		poison, poisonDecode = "", poisonMarker
+	}
 	e := engine.New(engine.Options{
 		Name:         name,
 		Listener:     l,
@@ -189,7 +195,8 @@
 		Journal:      journal,
 		CheckFencing: i%2 == 0,
 		WeightsURL:   "http://" + f.weights.Addr().String(),
-		Poison:       poisonMarker,
+		Poison:       poison,
+		PoisonDecode: poisonDecode,
 	})
 	f.engines = append(f.engines, e)
 	f.addSidecar(name, settings.UpstreamModel, e.Addr().String(), i)
--- /dev/null
+++ b/internal/demo/steps_test.go
@@ -0,0 +1,129 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/engine"
+)
+
+// step is a moment in the life of a model request, as its engines see it.
+type step struct {
+	name string
+	// at reports whether the executions of the request have come so far.
+	at func(x engine.Execution) bool
+	// decoding tells that the decode side is at work, otherwise the prefill side.
+	decoding bool
+}
+
+var steps = []step{
+	{name: "prefill", at: func(x engine.Execution) bool { return x.Work == engine.WorkPrefill && x.Outcome == engine.Running }},
+	{name: "import", decoding: true, at: func(x engine.Execution) bool { return x.Work == engine.WorkImport && x.Outcome == engine.Running }},
+	{name: "first token", decoding: true, at: decoded(1)},
+	{name: "tenth token", decoding: true, at: decoded(10)},
+	{name: "last tokens", decoding: true, at: decoded(38)},
+}
+
+func decoded(n int) func(engine.Execution) bool {
+	return func(x engine.Execution) bool { return x.Work == engine.WorkDecode && x.FirstIndex+x.Tokens >= n }
+}
+
+// await waits until an execution that began after since is at a step, and
+// returns its engine, or "" when none was within the time.
+func (b *bench) await(s step, since time.Time, within time.Duration) string {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, x := range b.fleet.journal.All() {
+			if !x.Started.Before(since) && s.at(x) {
+				return x.Engine
+			}
+		}
+	}
+	return ""
+}
+
+// victim is what fails, with the targets that a request's engine stands for.
+type victim struct {
+	name    string
+	targets func(engine string) []string
+}
+
+var victims = []victim{
+	{name: "engine", targets: func(e string) []string { return []string{e} }},
+	{name: "sidecar", targets: func(e string) []string { return []string{"sidecar-" + e} }},
+	{name: "engine and sidecar", targets: func(e string) []string { return []string{e, "sidecar-" + e} }},
+	{name: "entry", targets: func(string) []string { return []string{"entry-1"} }},
+	{name: "entry and sidecar", targets: func(e string) []string { return []string{"entry-1", "sidecar-" + e} }},
+	{name: "entry and engine", targets: func(e string) []string { return []string{"entry-1", e} }},
+}
+
+// Guards against a death, a silence, a pause or a graceful stop at one step of a
+// model request, once and twice in a row, that loses, garbles or repeats the
+// answer, keeps engine memory, or runs what was refused.
+func TestFaultsAtEachStepOfAModelRequest(t *testing.T) {
+	for _, kind := range []string{"crash", "silence", "pause", "down"} {
+		for _, v := range victims {
+			for _, s := range steps {
+				for times := 1; times <= 2; times++ {
+					if kind == "pause" && v.name != "engine" || kind == "down" && v.name != "entry" && v.name != "sidecar" && v.name != "entry and sidecar" {
+						continue // processes cannot be paused; engines have no graceful stop
+					}
+					t.Run(fmt.Sprintf("%s/%s/%s/%d", kind, v.name, s.name, times), func(t *testing.T) {
+						t.Parallel()
+						inFleet(t, nil, func(ctx context.Context, b *bench) { b.failAtStep(ctx, kind, v, s, times) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func (b *bench) failAtStep(ctx context.Context, kind string, v victim, s step, times int) {
+	begun := time.Now()
+	done := make(chan modelResult, 1)
+	go func() { done <- b.call(ctx, 0, words("the", 1500), 40, 0) }()
+	for range times {
+		name := b.await(s, begun, 20*time.Second)
+		if name == "" {
+			break // the request has ended with its entry
+		}
+		begun = time.Now().Add(time.Nanosecond)
+		for _, target := range v.targets(name) {
+			b.fault(target, kind, time.Second)
+		}
+	}
+	m := <-done
+	b.t.Logf("status %d, done %t, error %q %v after %s", m.status, m.done, m.errorKind, m.err, m.total)
+	time.Sleep(settleTime)
+}
+
+// Guards against engine memory that stays held when a caller leaves at any
+// moment, alone or while the request's upstream fails.
+func TestCallerLeavesAtEachStep(t *testing.T) {
+	for _, fault := range []string{"", "slow", "stall_transfer", "silence", "crash"} {
+		for _, s := range steps {
+			t.Run(fault+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, nil, func(ctx context.Context, b *bench) {
+					ctx, leave := context.WithCancel(ctx)
+					defer leave()
+					done := make(chan modelResult, 1)
+					begun := time.Now()
+					go func() { done <- b.call(ctx, 0, words("left", 1500), 40, 0) }()
+					name := b.await(s, begun, 20*time.Second)
+					if name == "" {
+						t.Fatal("the step was not reached")
+					}
+					if fault != "" {
+						b.fault(name, fault, 2*time.Second)
+					}
+					leave()
+					<-done
+					time.Sleep(settleTime)
+					t.Logf("memory free %s after the caller left", b.worst.left)
+				})
+			})
+		}
+	}
+}
