--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -85,6 +85,7 @@
 	id     string // the engine's request id
 	handle string // set while a prefill output is held
 	tries  int
+	lost   bool // the engine died while it may have held something
 	calls  sync.WaitGroup
 	// interrupt ends a call whose answer seems lost; misses counts the sweeps
 	// that say so.
@@ -198,11 +199,25 @@
 		ok = cancelRequest(life, b, c, id)
 	}
 	if ok {
+		w.noteLost(b)
 		w.cleared()
 	}
 	return ok
 }
 
+func (w *work) noteLost(b *boot) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost = w.lost || b.lost()
+}
+
+// engineLost reports whether the engine died before it had freed everything.
+func (w *work) engineLost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
 // reportInterval is how often the wait estimate of a queued claim is looked at,
 // and reportChange the least change that is worth a frame.
 const (
--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -50,7 +50,7 @@
 func (x *decodeSession) run() {
 	x.s.sessions.add(&x.c.claim, func() { x.wg.Go(x.sendBeat) })
 	defer x.s.sessions.remove(&x.c.claim)
-	defer x.release()
+	defer x.conclude()
 	defer x.cancel(context.Canceled)
 	context.AfterFunc(x.ctx, x.release)
 	x.beat(func() *wire.DecodeReply {
@@ -261,6 +261,15 @@
 	return false
 }
 
+// conclude releases the claim. An entry that cancelled is told if the engine died
+// first, so that no crash of a request goes uncounted.
+func (x *decodeSession) conclude() {
+	x.release()
+	if x.c.work.engineLost() {
+		x.failed(wire.FailureKind_FAILURE_ENGINE_LOST, errEngineLost.Error())
+	}
+}
+
 func (x *decodeSession) refused(r *refusal) {
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -58,7 +58,7 @@
 func (x *prefillSession) run() {
 	x.s.sessions.add(&x.c.claim, func() { x.wg.Go(x.sendBeat) })
 	defer x.s.sessions.remove(&x.c.claim)
-	defer x.release()
+	defer x.conclude()
 	defer x.cancel(context.Canceled)
 	context.AfterFunc(x.ctx, x.release)
 	x.beat(func() *wire.PrefillReply {
@@ -207,6 +207,15 @@
 	return err != nil || slices.ContainsFunc(list, func(r engine.RequestInfo) bool { return r.RequestID == x.c.id })
 }
 
+// conclude releases the claim. An entry that cancelled is told if the engine died
+// first, so that no crash of a request goes uncounted.
+func (x *prefillSession) conclude() {
+	x.release()
+	if x.c.work.engineLost() {
+		x.failed(wire.FailureKind_FAILURE_ENGINE_LOST, errEngineLost.Error())
+	}
+}
+
 func (x *prefillSession) refused(r *refusal) {
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
