Keep a poison request at two crashes, however many copies arrive

Copies sent at once crashed 3 to 5 engines: each ran on an engine of its own, entries learned of each other's crashes late or, with the store down, never, and a suspect whose upstream had died went on to the next one at once.

--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -104,10 +104,17 @@
 		Plain:         d.Plain,
 		Outcomes:      d.Ledger,
 		Quarantine:    d.Quarantine,
-		Limits:        entryLimits(d.Process.Settings),
-		Events:        d.Events,
-		Metrics:       d.Metrics,
-		Logger:        d.Logger,
+		Crashes: &quarantine.Sharer{
+			Keeper:  d.Quarantine,
+			Members: d.Members,
+			Self:    d.Process.Settings.Instance,
+			Client:  d.Client.Client,
+			Secret:  d.Process.Settings.PeerSecret,
+		},
+		Limits:  entryLimits(d.Process.Settings),
+		Events:  d.Events,
+		Metrics: d.Metrics,
+		Logger:  d.Logger,
 	})
 }
 
@@ -116,6 +123,7 @@
 		dump: func() map[string]any {
 			return map[string]any{"entry": e.State(), "quarantine": k.Record(), "ledger": l.State()}
 		},
+		streams:       map[string]http.Handler{quarantine.SharePath: k},
 		drain:         e.Drain,
 		commitIntents: l.CommitIntent,
 	}
--- a/internal/demo/poison_test.go
+++ b/internal/demo/poison_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/engine"
 )
 
 func (f *Fleet) crashes() int {
@@ -68,6 +70,11 @@
 				calls.Wait()
 				if n := b.fleet.crashes(); n > 2 {
 					t.Errorf("%d upstream crashes, want at most 2", n)
+					for _, x := range b.fleet.journal.All() {
+						if x.Outcome == engine.Crashed {
+							t.Logf("%s: %s ran the %s of %s from %s", x.Ended.Format("05.000"), x.Engine, x.Work, x.RequestID, x.Started.Format("05.000"))
+						}
+					}
 				}
 				t.Logf("crashes %d, failures %v, refusals %v", b.fleet.crashes(), b.report.Failures, b.report.Refusals)
 			})
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -102,6 +102,20 @@
 	c.cancel()
 }
 
+// say writes a frame if the stream is open and reports whether it was. The
+// stream stays open, so that the sidecar can still answer.
+func (c *sidecarConn[S, R]) say(m S) bool {
+	if c == nil || c.closed {
+		return false
+	}
+	select {
+	case s := <-c.opened:
+		c.stream = s
+	default:
+	}
+	return c.stream != nil && c.stream.Send(m) == nil
+}
+
 func cancelDecode(reason string) *wire.DecodeRequest {
 	return &wire.DecodeRequest{Body: &wire.DecodeRequest_Cancel{Cancel: &wire.Cancel{Reason: reason}}}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,10 +68,12 @@
 	Plain      PlainRouter
 	Outcomes   OutcomeLookup
 	Quarantine *quarantine.Keeper
-	Limits     Limits
-	Events     *telemetry.FlightLog
-	Metrics    *Metrics
-	Logger     *log.Logger
+	// Crashes tells the other entries of crashes; nil tells nobody.
+	Crashes *quarantine.Sharer
+	Limits  Limits
+	Events  *telemetry.FlightLog
+	Metrics *Metrics
+	Logger  *log.Logger
 }
 
 // Entry serves callers.
@@ -98,6 +100,8 @@
 	retries     retries
 	subsets     subsetCache
 	quarantine  *quarantine.Keeper
+	crashes     *quarantine.Sharer
+	copies      *copies
 	leaving     atomic.Bool
 	closing     atomic.Bool // answers ask callers to open new connections elsewhere
 	inFlight    inFlight
@@ -123,7 +127,11 @@
 		lengths:    newLengths(),
 		cache:      newPrefixCache(),
 		quarantine: o.Quarantine,
+		crashes:    o.Crashes,
+		copies:     newCopies(),
 	}
+	e.quarantine.OnChange(func() { e.copies.wake(e.quarantine) })
+	e.quarantine.OnShare(e.copies.settle)
 	e.handler = e.routes()
 	return e
 }
--- a/internal/entry/inbox.go
+++ b/internal/entry/inbox.go
@@ -14,6 +14,7 @@
 	prefillConn  *prefillConn
 	prefillReply *wire.PrefillReply
 	err          error
+	suspected    bool // the quarantine has changed; it may concern this request
 }
 
 // inbox is the queue of a request's events. It is not bounded by count: a
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -19,6 +19,7 @@
 	if !ok {
 		return r.noPrefill("no prefill upstream is available")
 	}
+	t = r.entry.copies.prefillOf(r, t)
 	r.prefillTried[t.upstream] = true
 	r.prefillBegan = time.Now()
 	r.prefill = r.openPrefill(t)
@@ -58,9 +59,7 @@
 	case *wire.PrefillReply_Failed:
 		if b.Failed.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
 			r.entry.cache.forget(c.target.upstream)
-			if err := r.crashed(c.target.upstream); err != nil {
-				return err
-			}
+			return r.crashed(c.target.upstream)
 		}
 		return r.prefillLost(c, b.Failed.Kind.String()+" "+b.Failed.Detail)
 	}
@@ -84,6 +83,10 @@
 	if r.decode == nil || r.starting {
 		return nil
 	}
+	if r.req.Suspect {
+		// The upstream may have died of a copy; the next attempt knows.
+		return r.noPrefill("the upstream of the suspect failed: " + detail)
+	}
 	return r.beginPrefill()
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -34,6 +34,8 @@
 	log *log.Logger
 
 	current atomic.Pointer[Record]
+	changed atomic.Pointer[func()]
+	settle  atomic.Pointer[func(context.Context, Fingerprint)]
 
 	mu      sync.Mutex
 	stored  *Record // the newest record read from the service
@@ -69,12 +71,27 @@
 // Record returns the current copy; it must not be changed.
 func (k *Keeper) Record() *Record { return k.current.Load() }
 
+// OnChange sets a function that is called after each change of the copy.
+func (k *Keeper) OnChange(f func()) { k.changed.Store(&f) }
+
+func (k *Keeper) notify() {
+	if f := k.changed.Load(); f != nil {
+		(*f)()
+	}
+}
+
 func (k *Keeper) apply(change op) {
+	if k.applyLocked(change) {
+		k.notify()
+	}
+}
+
+func (k *Keeper) applyLocked(change op) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	next := k.current.Load().clone()
 	if !change(next) {
-		return
+		return false
 	}
 	k.current.Store(next)
 	if len(k.pending) < maxOps {
@@ -84,6 +101,7 @@
 	case k.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // adopt takes a record from the service and applies the pending changes on top.
@@ -92,18 +110,23 @@
 	if err != nil {
 		return err
 	}
+	k.takeOver(e.Index, r)
+	k.notify()
+	return nil
+}
+
+func (k *Keeper) takeOver(index uint64, r *Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if e.Index < k.index {
-		return nil
+	if index < k.index {
+		return
 	}
-	k.stored, k.index = r, e.Index
+	k.stored, k.index = r, index
 	next := r.clone()
 	for _, change := range k.pending {
 		change(next)
 	}
 	k.current.Store(next)
-	return nil
 }
 
 // Refresh reads the record once.
