--- /dev/null
+++ b/internal/demo/bookings_test.go
@@ -0,0 +1,100 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// book sends a booking through an entry until its outcome is known, as a caller
+// with an idempotency key may, or once without a key.
+func (b *bench) book(ctx context.Context, id string, keyed bool, tries int) bookingResult {
+	result := bookingResult{id: id, keyed: keyed, caller: caller(0)}
+	d := &driver{fleet: b.fleet, client: b.client}
+	for try := range tries {
+		call := plainCall{client: b.client, method: http.MethodPost, url: d.entryURL(try) + "/orders/book", key: caller(0), body: fmt.Sprintf(`{"id":%q}`, id)}
+		if keyed {
+			call.idempotencyKey = id
+		}
+		within, cancel := context.WithTimeout(ctx, 30*time.Second)
+		r := call.run(within)
+		cancel()
+		result.results = append(result.results, r)
+		if keyed {
+			b.report.addOutcome(d.lookUpOutcome(ctx, try+1, call.key, id))
+		}
+		if r.status/100 == 2 || !keyed && r.outcome != "not-run" {
+			break
+		}
+		time.Sleep(time.Second)
+	}
+	b.report.addBooking(result)
+	return result
+}
+
+// bookingSteps are moments in the life of a booking, as the time since it was
+// sent: the ledger's write takes a few milliseconds, the service 20 ms.
+var bookingSteps = []struct {
+	name  string
+	after time.Duration
+}{
+	{"as it arrives", time.Millisecond},
+	{"while the intent is written", 4 * time.Millisecond},
+	{"as it reaches the service", 10 * time.Millisecond},
+	{"while the service works", 20 * time.Millisecond},
+	{"as the service answers", 30 * time.Millisecond},
+	{"while the outcome is settled", 45 * time.Millisecond},
+}
+
+// bookingFaults are the failures of one booking, as targets and kinds.
+var bookingFaults = []struct {
+	name    string
+	targets [][2]string
+}{
+	{"entry dies", [][2]string{{"entry-1", "crash"}}},
+	{"entry goes silent", [][2]string{{"entry-1", "silence"}}},
+	{"entry stops", [][2]string{{"entry-1", "down"}}},
+	{"sidecars die", [][2]string{{"sidecar-orders-1", "crash"}, {"sidecar-orders-2", "crash"}}},
+	{"sidecars go silent", [][2]string{{"sidecar-orders-1", "silence"}, {"sidecar-orders-2", "silence"}}},
+	{"sidecars stop", [][2]string{{"sidecar-orders-1", "down"}, {"sidecar-orders-2", "down"}}},
+	{"services die", [][2]string{{"orders-1", "crash"}, {"orders-2", "crash"}}},
+	{"services die before they execute", [][2]string{{"orders-1", "crash_before"}, {"orders-2", "crash_before"}}},
+	{"services die after they executed", [][2]string{{"orders-1", "crash_after"}, {"orders-2", "crash_after"}}},
+	{"services go silent", [][2]string{{"orders-1", "silence"}, {"orders-2", "silence"}}},
+	{"store down", [][2]string{{"store", "down"}}},
+	{"store slow", [][2]string{{"store", "slow"}}},
+	{"store loses acknowledgements", [][2]string{{"store", "lost_ack"}}},
+	{"store writes late", [][2]string{{"store", "late_write"}}},
+	{"store down and entry dies", [][2]string{{"store", "down"}, {"entry-1", "crash"}}},
+	{"entry and services die", [][2]string{{"entry-1", "crash"}, {"orders-1", "crash_after"}, {"orders-2", "crash_after"}}},
+	{"lost acknowledgement and entry dies", [][2]string{{"store", "lost_ack"}, {"entry-1", "crash"}}},
+}
+
+// Guards against a booking that runs twice, is confirmed without having run, or
+// is called not-run after it ran, when something fails at one of its steps,
+// alone, together with something else or twice in a row.
+func TestFaultsAtEachStepOfABooking(t *testing.T) {
+	for _, f := range bookingFaults {
+		for _, s := range bookingSteps {
+			t.Run(f.name+"/"+s.name, func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, nil, func(ctx context.Context, b *bench) {
+					for i := range 4 {
+						time.AfterFunc(s.after, func() {
+							for _, x := range f.targets {
+								b.fault(x[0], x[1], time.Second)
+							}
+						})
+						r := b.book(ctx, fmt.Sprint("b", i), i < 2, 6)
+						last := r.results[len(r.results)-1]
+						t.Logf("%d sends, last %d %s %s", len(r.results), last.status, last.outcome, last.errorKind)
+						time.Sleep(4 * time.Second)
+					}
+					time.Sleep(settleTime)
+				})
+			})
+		}
+	}
+}
--- a/internal/demo/watch_test.go
+++ b/internal/demo/watch_test.go
@@ -60,8 +60,8 @@
 }
 
 type leave struct {
-	upstream    string
-	from, to    time.Time
+	upstream string
+	from, to time.Time
 }
 
 type acceptedTicket struct {
