--- a/internal/demo/bookings_test.go
+++ b/internal/demo/bookings_test.go
@@ -14,7 +14,7 @@
 	result := bookingResult{id: id, keyed: keyed, caller: caller(0)}
 	d := &driver{fleet: b.fleet, client: b.client}
 	for try := range tries {
-		call := plainCall{client: b.client, method: http.MethodPost, url: d.entryURL(try) + "/orders/book", key: caller(0), body: fmt.Sprintf(`{"id":%q}`, id)}
+		call := plainCall{client: b.client, entry: try % b.fleet.options.Entries, method: http.MethodPost, url: d.entryURL(try) + "/orders/book", key: caller(0), body: fmt.Sprintf(`{"id":%q}`, id)}
 		if keyed {
 			call.idempotencyKey = id
 		}
--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -191,6 +191,7 @@
 // plainCall is one call of a plain service.
 type plainCall struct {
 	client         *http.Client
+	entry          int // index of the entry that url names
 	method, url    string
 	key            string
 	idempotencyKey string
@@ -204,11 +205,15 @@
 	body      string
 	err       error
 	took      time.Duration
+	connected bool // the entry took the connection
+	entry     int
+	begun     time.Time
 }
 
 func (c plainCall) run(ctx context.Context) plainResult {
-	var result plainResult
 	begin := time.Now()
+	result := plainResult{begun: begin, entry: c.entry}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { result.connected = true }})
 	req, err := http.NewRequestWithContext(ctx, c.method, c.url, strings.NewReader(c.body))
 	if err != nil {
 		return plainResult{err: err}
@@ -219,7 +224,8 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return plainResult{err: err, took: time.Since(begin)}
+		result.err, result.took = err, time.Since(begin)
+		return result
 	}
 	defer func() { _ = resp.Body.Close() }()
 	raw, err := io.ReadAll(resp.Body)
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -169,7 +169,7 @@
 
 func (d *driver) lookup(ctx context.Context, i int) {
 	url := fmt.Sprintf("%s/orders/status/lookup-%d", d.entryURL(i), i)
-	result := plainCall{client: d.client, method: http.MethodGet, url: url, key: caller(i)}.run(ctx)
+	result := plainCall{client: d.client, entry: i % d.fleet.options.Entries, method: http.MethodGet, url: url, key: caller(i)}.run(ctx)
 	d.report.addLookup(result)
 }
 
@@ -184,6 +184,7 @@
 			client: d.client,
 			method: http.MethodPost,
 			url:    d.entryURL(i+try) + "/orders/book",
+			entry:  (i + try) % d.fleet.options.Entries,
 			key:    caller(i),
 			body:   fmt.Sprintf(`{"id":%q}`, id),
 		}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -91,6 +91,13 @@
 	r.Unanswered = append(r.Unanswered, unanswered{entry: call.entry, requestID: m.requestID, kind: kind, begun: m.begun, ended: m.ended})
 }
 
+// checkCut notes a plain call whose connection broke after the entry took it.
+func (r *Report) checkCut(p plainResult) {
+	if p.err != nil && p.connected {
+		r.Unanswered = append(r.Unanswered, unanswered{entry: p.entry, kind: "plain call cut off", begun: p.begun, ended: p.begun.Add(p.took)})
+	}
+}
+
 // checkText compares what the caller was given with the only right answer: a
 // part of an answer must be its beginning.
 func (r *Report) checkText(m modelResult, want string) {
@@ -144,6 +151,7 @@
 func (r *Report) addLookup(p plainResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkCut(p)
 	if p.err != nil || p.status != 200 {
 		r.LookupBad++
 		return
@@ -154,6 +162,9 @@
 func (r *Report) addBooking(b bookingResult) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, p := range b.results {
+		r.checkCut(p)
+	}
 	r.Bookings = append(r.Bookings, b)
 }
 
--- a/internal/demo/watch_test.go
+++ b/internal/demo/watch_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/standin/engine"
@@ -30,8 +31,10 @@
 type watch struct {
 	fleet  *Fleet
 	client *http.Client
-	stop   chan struct{}
-	loops  sync.WaitGroup
+	// memoryPause stops the sampling of memory in long idle times.
+	memoryPause atomic.Bool
+	stop        chan struct{}
+	loops       sync.WaitGroup
 
 	mu        sync.Mutex
 	disturbed map[string]time.Time   // last moment at which a target was at fault
@@ -51,7 +54,7 @@
 
 // worstFigures are the longest times that were seen for a bound.
 type worstFigures struct {
-	left, fault time.Duration
+	left, fault, ticket time.Duration
 }
 
 type watchedCall struct {
@@ -164,6 +167,9 @@
 
 // sampleMemory checks what the engines hold now.
 func (w *watch) sampleMemory() {
+	if w.memoryPause.Load() {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -290,6 +296,9 @@
 	w.revisions[name] = max(w.revisions[name], s.ConfigRevision)
 	settled := later(later(w.disturbed["store"], w.disturbed["list"]), w.disturbed[name])
 	for _, t := range w.accepted {
+		if s.ConfigRevision < t.revision {
+			w.worst.ticket = max(w.worst.ticket, asked.Sub(t.at))
+		}
 		if s.ConfigRevision < t.revision && asked.After(later(t.at, settled).Add(ticketBound)) {
 			w.violated(fmt.Sprint("ticket", name, t.number), "ticket: %s reports revision %d; ticket %d was accepted as revision %d %s before",
 				name, s.ConfigRevision, t.number, t.revision, asked.Sub(t.at))
