--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -95,6 +95,8 @@
 	Decodes   int
 	Bookings  int
 	Params    costmodel.Params
+	// PoisonDecode lets poison prompts crash decode engines only.
+	PoisonDecode bool
 }
 
 // DefaultOptions returns the demo's sizes.
@@ -112,6 +114,7 @@
 	list     *instances.Server
 	weights  *weights.Store
 	engines  []*engine.Engine
+	journal  *engine.Journal
 	orders   *booking.Orders
 	bookings []*booking.Server
 	registry *control.Registry
@@ -133,6 +136,7 @@
 		logger:   o.Logger,
 		orders:   booking.NewOrders(),
 		registry: control.NewRegistry(),
+		journal:  engine.NewJournal(),
 		stopping: make(chan struct{}),
 	}
 	steps := []func(context.Context) error{f.startPlatform, f.startUpstreams, f.applyFirstTicket, f.startNodes, f.startControl, f.waitReady}
@@ -166,7 +170,7 @@
 }
 
 func (f *Fleet) startUpstreams(context.Context) error {
-	journal := engine.NewJournal()
+	journal := f.journal
 	for i := range f.options.Prefills {
 		if err := f.startEngine(fmt.Sprintf("prefill-%d", i+1), engine.Prefill, journal, i); err != nil {
 			return err
@@ -190,6 +194,10 @@
 	if err != nil {
 		return err
 	}
+	poison, poisonDecode := poisonMarker, ""
+	if f.options.PoisonDecode {
+		poison, poisonDecode = "", poisonMarker
+	}
 	e := engine.New(engine.Options{
 		Name:         name,
 		Listener:     l,
@@ -200,7 +208,8 @@
 		Journal:      journal,
 		CheckFencing: i%2 == 0,
 		WeightsURL:   "http://" + f.weights.Addr().String(),
-		Poison:       poisonMarker,
+		Poison:       poison,
+		PoisonDecode: poisonDecode,
 	})
 	f.engines = append(f.engines, e)
 	f.addSidecar(name, settings.UpstreamModel, e.Addr().String(), i)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,10 +68,12 @@
 	Plain      PlainRouter
 	Outcomes   OutcomeLookup
 	Quarantine *quarantine.Keeper
-	Limits     Limits
-	Events     *telemetry.FlightLog
-	Metrics    *Metrics
-	Logger     *log.Logger
+	// Crashes tells the other entries of crashes; nil tells nobody.
+	Crashes *quarantine.Sharer
+	Limits  Limits
+	Events  *telemetry.FlightLog
+	Metrics *Metrics
+	Logger  *log.Logger
 }
 
 // Entry serves callers.
@@ -100,6 +102,8 @@
 	retries     retries
 	subsets     subsetCache
 	quarantine  *quarantine.Keeper
+	crashes     *quarantine.Sharer
+	copies      *copies
 	leaving     atomic.Bool
 	closing     atomic.Bool // answers ask callers to open new connections elsewhere
 	inFlight    inFlight
@@ -127,7 +131,11 @@
 		cache:      newPrefixCache(),
 		usage:      newUsageTable(),
 		quarantine: o.Quarantine,
+		crashes:    o.Crashes,
+		copies:     newCopies(),
 	}
+	e.quarantine.OnChange(func() { e.copies.wake(e.quarantine) })
+	e.quarantine.OnShare(e.copies.settle)
 	e.handler = e.routes()
 	return e
 }
