Relay the quarantine record; let watchers alone read the platform's list

Every entry watched the quarantine record and every process read the whole list of instances each 2 s, 3 MB each at 4,940 processes. Watchers of each failure domain now do both and pass changes on by exchanges; tables are compared every 30 exchanges, so a missed change is repaired. A revision is no longer passed on as a membership change. Exchanges use short-lived connections, since pings on a connection to every peer exceed the byte budget. A suspicion is local and ends only by an answer of the member; the list no longer clears it. Entries report silent, answering and leaving sidecars. Control bytes, calls, members and revisions are exported as metrics.

--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -16,6 +16,7 @@
 	"github.com/fescueslip/fescueslip/internal/configstore"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 	"github.com/fescueslip/fescueslip/internal/wire"
@@ -47,10 +48,14 @@
 		newMeter,
 		newPeerClient,
 		newIdentity,
+		newKeeper,
+		newTraffic,
 		newRelay,
+		newPoller,
+		newControlState,
 		newBackground,
 	),
-	fx.Invoke(runMembership, runRelay, serveAdmin),
+	fx.Invoke(runMembership, runRelay, observeControl, serveAdmin),
 )
 
 type meterResult struct {
@@ -140,20 +145,53 @@
 	})
 }
 
-func newRelay(p Process, c peerClient, cache *relay.Cache, store *configstore.Store, table *membership.Table, id *identity, logger *log.Logger) *relay.Relay {
+func newKeeper(kv platform.KV, logger *log.Logger) *quarantine.Keeper {
+	return quarantine.NewKeeper(kv, logger)
+}
+
+func newTraffic() *relay.Traffic { return new(relay.Traffic) }
+
+type relayDeps struct {
+	fx.In
+
+	Process    Process
+	Traffic    *relay.Traffic
+	Cache      *relay.Cache
+	Store      *configstore.Store
+	Table      *membership.Table
+	Quarantine *quarantine.Keeper
+	Identity   *identity
+	Logger     *log.Logger
+	Lifecycle  fx.Lifecycle
+}
+
+func newRelay(d relayDeps) *relay.Relay {
+	client := relay.NewClient(d.Process.Dial, d.Traffic)
+	d.Lifecycle.Append(fx.StopHook(client.CloseIdleConnections))
 	return relay.New(relay.Options{
-		Cache:  cache,
-		Store:  store,
-		Table:  table,
-		Self:   id.member,
-		Client: c.Client,
-		Secret: p.Settings.PeerSecret,
-		Logger: logger,
+		Cache:      d.Cache,
+		Store:      d.Store,
+		Table:      d.Table,
+		Quarantine: d.Quarantine,
+		Self:       d.Identity.member,
+		Client:     client,
+		Secret:     d.Process.Settings.PeerSecret,
+		Logger:     d.Logger,
 	})
 }
 
-func runMembership(lc fx.Lifecycle, p Process, table *membership.Table, b *background, logger *log.Logger) {
-	poller := &membership.Poller{Table: table, Instances: p.Instances, Interval: listInterval, Logger: logger}
+func newPoller(p Process, table *membership.Table, id *identity, r *relay.Relay, logger *log.Logger) *membership.Poller {
+	return &membership.Poller{
+		Table:     table,
+		Instances: p.Instances,
+		Interval:  listInterval,
+		Reader:    func() bool { return relay.Watches(id.member(), table.Members()) },
+		Changed:   r.Changed,
+		Logger:    logger,
+	}
+}
+
+func runMembership(lc fx.Lifecycle, poller *membership.Poller, b *background) {
 	lc.Append(fx.StartHook(func() { b.run("instance list", poller.Run) }))
 }
 
@@ -165,6 +203,7 @@
 				return err
 			}
 			id.serving()
+			r.Announce(ctx)
 			return nil
 		})
 	}))
--- /dev/null
+++ b/internal/app/control.go
@@ -0,0 +1,143 @@
+package app
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/relay"
+)
+
+// controlState is what the control traffic of a process has cost since its start.
+type controlState struct {
+	// SentBytes and ReceivedBytes are of the calls to peers that this process
+	// made, with their headers; those that it answered are the same on average.
+	SentBytes     int64 `json:"sent_bytes"`
+	ReceivedBytes int64 `json:"received_bytes"`
+	Dials         int64 `json:"dials"`
+	ListReads     int64 `json:"list_reads"`
+	// KV is absent when the client of the key-value service does not count.
+	KV *platform.CallCounts `json:"kv,omitempty"`
+}
+
+// callCounter is a client of the key-value service that counts its calls.
+type callCounter interface{ Counts() platform.CallCounts }
+
+func newControlState(t *relay.Traffic, poller *membership.Poller, kv platform.KV) func() controlState {
+	return func() controlState {
+		s := controlState{
+			SentBytes:     t.Sent.Load(),
+			ReceivedBytes: t.Received.Load(),
+			Dials:         t.Dials.Load(),
+			ListReads:     poller.Reads(),
+		}
+		if c, ok := kv.(callCounter); ok {
+			counts := c.Counts()
+			s.KV = &counts
+		}
+		return s
+	}
+}
+
+// memberStatesReported are the states that have a series of their own.
+var memberStatesReported = []membership.State{membership.Starting, membership.Serving, membership.Suspect, membership.Leaving}
+
+// observeControl exports the cost of the control traffic, the calls to the
+// key-value service and the state of the relay.
+func observeControl(m metric.Meter, t *relay.Traffic, poller *membership.Poller, kv platform.KV, r *relay.Relay, table *membership.Table) error {
+	return errors.Join(
+		observeTraffic(m, t, poller),
+		observeCalls(m, kv),
+		observeMembers(m, table),
+		observeRelay(m, r),
+	)
+}
+
+func observeTraffic(m metric.Meter, t *relay.Traffic, poller *membership.Poller) error {
+	_, err := m.Int64ObservableCounter("fescueslip.control.peer.bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the calls to peers that this process made, by direction."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(t.Sent.Load(), metric.WithAttributes(attribute.String("direction", "sent")))
+			o.Observe(t.Received.Load(), metric.WithAttributes(attribute.String("direction", "received")))
+			return nil
+		}))
+	_, dialErr := m.Int64ObservableCounter("fescueslip.control.peer.connections", metric.WithUnit("{connection}"),
+		metric.WithDescription("Connections that this process opened for calls to peers."),
+		metric.WithInt64Callback(observed(t.Dials.Load)))
+	_, listErr := m.Int64ObservableCounter("fescueslip.control.list.reads", metric.WithUnit("{call}"),
+		metric.WithDescription("Reads of the platform's list of instances."),
+		metric.WithInt64Callback(observed(poller.Reads)))
+	return errors.Join(err, dialErr, listErr)
+}
+
+func observed(value func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(value())
+		return nil
+	}
+}
+
+func observeCalls(m metric.Meter, kv platform.KV) error {
+	counter, ok := kv.(callCounter)
+	if !ok {
+		return nil
+	}
+	_, err := m.Int64ObservableCounter("fescueslip.kv.calls", metric.WithUnit("{call}"),
+		metric.WithDescription("Calls to the key-value service by kind and result: sent, failed, delayed or refused by the budget."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			counts := counter.Counts()
+			observeKind(o, "read", counts.Reads)
+			observeKind(o, "write", counts.Writes)
+			observeKind(o, "watch", counts.Watches)
+			return nil
+		}))
+	return err
+}
+
+func observeKind(o metric.Int64Observer, kind string, c platform.Counts) {
+	results := []struct {
+		name  string
+		count uint64
+	}{{"sent", c.Calls}, {"failed", c.Failures}, {"delayed", c.Delayed}, {"refused", c.Refused}}
+	for _, r := range results {
+		o.Observe(int64(r.count), metric.WithAttributes(attribute.String("kind", kind), attribute.String("result", r.name)))
+	}
+}
+
+func observeMembers(m metric.Meter, table *membership.Table) error {
+	_, err := m.Int64ObservableGauge("fescueslip.members", metric.WithUnit("{member}"),
+		metric.WithDescription("Known members by state."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			counts := table.Counts()
+			for _, state := range memberStatesReported {
+				o.Observe(int64(counts[state]), metric.WithAttributes(attribute.String("state", state.String())))
+			}
+			return nil
+		}))
+	return err
+}
+
+func observeRelay(m metric.Meter, r *relay.Relay) error {
+	_, err := m.Int64ObservableGauge("fescueslip.config.revision", metric.WithUnit("{revision}"),
+		metric.WithDescription("Revision of the configuration in effect."),
+		metric.WithInt64Callback(observed(func() int64 { return int64(r.State().Revision) })))
+	_, ageErr := m.Float64ObservableGauge("fescueslip.config.revision.age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the newest revision took effect here."),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(r.State().RevisionAgeSeconds)
+			return nil
+		}))
+	_, exchangeErr := m.Int64ObservableCounter("fescueslip.control.exchanges", metric.WithUnit("{call}"),
+		metric.WithDescription("Exchanges with peers, begun by this process or answered."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			s := r.State()
+			o.Observe(s.Exchanges, metric.WithAttributes(attribute.String("side", "begun")))
+			o.Observe(s.Answers, metric.WithAttributes(attribute.String("side", "answered")))
+			return nil
+		}))
+	return errors.Join(err, ageErr, exchangeErr)
+}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/config"
@@ -32,14 +33,13 @@
 
 var entryModule = fx.Module("entry",
 	fx.Provide(
-		quarantine.NewKeeper,
 		entry.NewMetrics,
 		newLedger,
 		newPlainRouter,
 		newEntry,
 		entryParts,
 	),
-	fx.Invoke(runQuarantine, runLedger, servePeers, serveCallers, drainOnStop),
+	fx.Invoke(observeHints, runQuarantine, runLedger, servePeers, serveCallers, drainOnStop),
 )
 
 func entryLimits(s *settings.Settings) entry.Limits {
@@ -114,18 +114,17 @@
 func entryParts(e *entry.Entry, k *quarantine.Keeper, l *ledger.Ledger) roleParts {
 	return roleParts{
 		dump: func() map[string]any {
-			return map[string]any{"entry": e.State(), "quarantine": k.Record(), "ledger": l.State()}
+			return map[string]any{"entry": e.State(), "ledger": l.State(), "quarantine": k.Record()}
 		},
 		drain:         e.Drain,
 		commitIntents: l.CommitIntent,
 	}
 }
 
+func observeHints(e *entry.Entry, m metric.Meter) error { return e.ObserveHints(m) }
+
 func runQuarantine(lc fx.Lifecycle, k *quarantine.Keeper, b *background) {
-	lc.Append(fx.StartHook(func() {
-		b.run("quarantine writer", k.RunWriter)
-		b.run("quarantine watcher", k.RunWatcher)
-	}))
+	lc.Append(fx.StartHook(func() { b.run("quarantine writer", k.RunWriter) }))
 }
 
 func runLedger(lc fx.Lifecycle, l *ledger.Ledger, b *background) {
--- a/internal/app/server.go
+++ b/internal/app/server.go
@@ -79,11 +79,12 @@
 }
 
 func serveAdmin(lc fx.Lifecycle, p Process, id *identity, holder *config.Holder, r *relay.Relay, table *membership.Table,
-	events *telemetry.FlightLog, registry *prometheus.Registry, role roleParts, sd fx.Shutdowner, logger *log.Logger) {
+	events *telemetry.FlightLog, registry *prometheus.Registry, role roleParts, control func() controlState, sd fx.Shutdowner, logger *log.Logger) {
 	state := func() admin.State {
 		m := id.member()
 		parts := role.dump()
 		parts["relay"] = r.State()
+		parts["control"] = control()
 		parts["members"] = memberStates(table.Members())
 		return admin.State{
 			Instance:       m.Name,
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -124,6 +124,25 @@
 	return s.complete(ctx, entry, pages)
 }
 
+// Head reads the head alone, which has revision 0 before the first ticket.
+func (s *Store) Head(ctx context.Context) (*Head, error) {
+	entry, err := s.kv.Get(ctx, HeadKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration head")
+	}
+	return DecodeHead(entry.Value)
+}
+
+// Prime adds pages that came from elsewhere, so that the next Load or Watch does
+// not read them from the service.
+func (s *Store) Prime(pages map[string][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := maps.Clone(pages)
+	maps.Copy(known, s.pages)
+	s.pages = known
+}
+
 // Watch returns what Load returns as soon as the head's index exceeds after, or
 // with the unchanged state when the service ends the wait. Callers may call it in
 // a loop.
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
+	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fescueslip/fescueslip/internal/membership"
@@ -42,6 +44,8 @@
 	newR   func() R
 	// deliver gets each frame, and last the error that ended the stream.
 	deliver func(R, error)
+	// report tells the members' view whether the sidecar answers.
+	report func(membership.State)
 }
 
 func openConn[S, R proto.Message](ctx context.Context, t target, call streamCall[S, R], c *sidecarConn[S, R]) {
@@ -56,18 +60,25 @@
 	url := "http://" + c.target.member.PeerAddress + call.path
 	s, err := wire.Dial[S](ctx, call.client, url, call.secret, call.newR)
 	if err != nil {
+		c.reportEnd(ctx, call, err)
 		call.deliver(none, err)
 		return
 	}
 	defer s.Close()
 	if err := s.Send(call.first); err != nil {
+		c.reportEnd(ctx, call, err)
 		call.deliver(none, err)
 		return
 	}
 	c.opened <- s
 	go s.Heartbeat(call.renew)
-	for {
+	for first := true; ; first = false {
 		m, err := s.Recv()
+		if err != nil {
+			c.reportEnd(ctx, call, err)
+		} else if first {
+			call.report(membership.Serving)
+		}
 		call.deliver(m, err)
 		if err != nil {
 			return
@@ -75,6 +86,28 @@
 	}
 }
 
+// reportEnd marks the sidecar as suspect when the stream ended neither in order
+// nor because the request no longer needs it.
+func (c *sidecarConn[S, R]) reportEnd(ctx context.Context, call streamCall[S, R], err error) {
+	if ctx.Err() == nil && !errors.Is(err, io.EOF) {
+		call.report(membership.Suspect)
+	}
+}
+
+// reporter returns the function by which a stream reports on its sidecar.
+func (e *Entry) reporter(t target) func(membership.State) {
+	return func(s membership.State) { e.members.Report(t.member.Name, t.member.Incarnation, s) }
+}
+
+// noteLoad takes a load hint. A hint that the sidecar leaves takes effect at
+// once, since the platform's list lags.
+func (e *Entry) noteLoad(t target, l *wire.Load) {
+	e.hints.note(l)
+	if l != nil && l.Leaving {
+		e.members.Report(t.member.Name, l.Incarnation, membership.Leaving)
+	}
+}
+
 // send writes a frame. It must only be called after a frame was received, since
 // the stream is open from then on.
 func (c *sidecarConn[S, R]) send(m S) error {
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -23,9 +25,14 @@
 	sent   atomic.Int64
 }
 
+// hintFraming is the tag and the length of a hint within its frame.
+const hintFraming = 2
+
 // hintTable keeps the newest hint of each upstream. Reading takes no lock.
 type hintTable struct {
 	byUpstream sync.Map // string → *upstreamHints
+	count      atomic.Int64
+	bytes      atomic.Int64
 }
 
 func (t *hintTable) of(upstream string) *upstreamHints {
@@ -40,6 +47,8 @@
 	if l == nil || l.Upstream == "" {
 		return
 	}
+	t.count.Add(1)
+	t.bytes.Add(int64(proto.Size(l)) + hintFraming)
 	u := t.of(l.Upstream)
 	u.newest.Store(&hint{load: l, at: time.Now()})
 	u.sent.Store(0)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -84,3 +84,14 @@
 		m.firstToken.Record(context.Background(), took.Seconds())
 	}
 }
+
+// ObserveHints exports what the load hints that the entry receives cost.
+func (e *Entry) ObserveHints(m metric.Meter) error {
+	_, err := m.Int64ObservableCounter("fescueslip.control.hint.bytes", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of the load hints received from sidecars."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(e.hints.bytes.Load())
+			return nil
+		}))
+	return err
+}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -41,7 +41,7 @@
 }
 
 func (r *runner) prefillFrame(c *prefillConn, m *wire.PrefillReply) error {
-	r.entry.hints.note(m.Load)
+	r.entry.noteLoad(c.target, m.Load)
 	switch b := m.Body.(type) {
 	case *wire.PrefillReply_Started:
 		r.prefillBegan = time.Now()
@@ -146,6 +146,7 @@
 		renew:   renewPrefill,
 		newR:    func() *wire.PrefillReply { return new(wire.PrefillReply) },
 		deliver: func(m *wire.PrefillReply, err error) { r.inbox.put(event{prefillConn: c, prefillReply: m, err: err}) },
+		report:  r.entry.reporter(t),
 	}, c)
 	return c
 }
@@ -178,6 +179,7 @@
 		renew:   renewDecode,
 		newR:    func() *wire.DecodeReply { return new(wire.DecodeReply) },
 		deliver: func(m *wire.DecodeReply, err error) { r.inbox.put(event{decodeConn: c, decodeReply: m, err: err}) },
+		report:  r.entry.reporter(t),
 	}, c)
 	return c
 }
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -235,7 +235,7 @@
 }
 
 func (r *runner) decodeFrame(c *decodeConn, m *wire.DecodeReply) error {
-	r.entry.hints.note(m.Load)
+	r.entry.noteLoad(c.target, m.Load)
 	switch b := m.Body.(type) {
 	case *wire.DecodeReply_Granted:
 		return r.granted(c, b.Granted)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,10 +8,13 @@
 
 // State is the entry's part of the state dump.
 type State struct {
-	Leaving    bool            `json:"leaving"`
-	InProgress int64           `json:"in_progress"`
-	Hints      []HintState     `json:"hints"`
-	Accounts   []AccountReport `json:"accounts"`
+	Leaving    bool  `json:"leaving"`
+	InProgress int64 `json:"in_progress"`
+	// HintCount and HintBytes are of the load hints received since the start.
+	HintCount int64           `json:"hint_count"`
+	HintBytes int64           `json:"hint_bytes"`
+	Hints     []HintState     `json:"hints"`
+	Accounts  []AccountReport `json:"accounts"`
 }
 
 // HintState is the newest load hint of one upstream.
@@ -23,6 +26,7 @@
 // State returns the dump of the entry.
 func (e *Entry) State() State {
 	s := State{Leaving: e.leaving.Load(), InProgress: e.streams.total.Load()}
+	s.HintCount, s.HintBytes = e.hints.count.Load(), e.hints.bytes.Load()
 	for _, h := range e.hints.all() {
 		s.Hints = append(s.Hints, HintState{AgeMs: time.Since(h.at).Milliseconds(), Load: h.load})
 	}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -18,8 +18,6 @@
 const (
 	// flushRetry is the pause after a failed write.
 	flushRetry = 500 * time.Millisecond
-	// watchRetry is the pause after a failed read.
-	watchRetry = time.Second
 	maxOps     = 4096
 )
 
@@ -37,6 +35,7 @@
 
 	mu      sync.Mutex
 	stored  *Record // the newest record read from the service
+	raw     []byte  // stored as the service has it
 	index   uint64
 	pending []op
 	wake    chan struct{}
@@ -86,24 +85,32 @@
 	}
 }
 
-// adopt takes a record from the service and applies the pending changes on top.
-func (k *Keeper) adopt(e platform.Entry) error {
-	r, err := decode(e.Value)
+// Adopt takes a record that was read from the service, here or by a peer, and
+// applies the pending changes on top. An older record changes nothing. It
+// reports whether the record was newer.
+func (k *Keeper) Adopt(index uint64, value []byte) (newer bool, err error) {
+	k.mu.Lock()
+	known := k.index
+	k.mu.Unlock()
+	if index <= known {
+		return false, nil
+	}
+	r, err := decode(value)
 	if err != nil {
-		return err
+		return false, err
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if e.Index < k.index {
-		return nil
+	if index <= k.index {
+		return false, nil
 	}
-	k.stored, k.index = r, e.Index
+	k.stored, k.raw, k.index = r, value, index
 	next := r.clone()
 	for _, change := range k.pending {
 		change(next)
 	}
 	k.current.Store(next)
-	return nil
+	return true, nil
 }
 
 // Refresh reads the record once.
@@ -112,7 +119,8 @@
 	if err != nil {
 		return err
 	}
-	return k.adopt(e)
+	_, err = k.Adopt(e.Index, e.Value)
+	return err
 }
 
 // Flush writes the pending changes. After a lost acknowledgement it reads the
@@ -185,21 +193,26 @@
 	}
 }
 
-// RunWatcher follows the record until ctx ends.
-func (k *Keeper) RunWatcher(ctx context.Context) error {
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		after := k.index
-		k.mu.Unlock()
-		e, err := k.kv.Watch(ctx, Key, after)
-		if err == nil {
-			err = k.adopt(e)
-		}
-		if err != nil && !sleep(ctx, watchRetry) {
-			return nil
-		}
+// Follow waits until the service has a newer record or ends the wait, and
+// reports whether it adopted one.
+func (k *Keeper) Follow(ctx context.Context) (newer bool, err error) {
+	after, _ := k.Encoded(0)
+	e, err := k.kv.Watch(ctx, Key, after)
+	if err != nil {
+		return false, err
+	}
+	return k.Adopt(e.Index, e.Value)
+}
+
+// Encoded returns the record as last read from the service, without pending
+// changes, and its index. The value is nil when the index is not above have.
+func (k *Keeper) Encoded(have uint64) (index uint64, value []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.index <= have {
+		return k.index, nil
 	}
-	return nil
+	return k.index, k.raw
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -66,6 +66,13 @@
 	return content, ok
 }
 
+// Pages returns the pages of the cached head; the map must not be changed.
+func (c *Cache) Pages() map[string][]byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pages
+}
+
 // Missing lists the pages of head that the cache lacks.
 func (c *Cache) Missing(head *configstore.Head) []string {
 	return configstore.MissingPages(head, func(hash string) bool {
--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -1,20 +1,28 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/fescueslip/fescueslip/internal/peer"
 )
 
-// passes is how often a process passes a membership change on. With one
-// exchange a second in both directions, 12 passes reach 4,940 processes with
-// a margin; the platform's list repairs what is missed.
-const passes = 12
+const (
+	// passes is how often a process passes a membership change on. With one
+	// exchange a second in both directions, 12 passes reach 4,940 processes
+	// with a margin; the comparison of tables repairs what is missed.
+	passes = 12
+	// maxQueued bounds the changes that wait to be passed on. After a restart of
+	// all processes at once, the comparison of tables is cheaper than passing
+	// thousands of changes one by one.
+	maxQueued = 512
+)
 
 // changeQueue holds the membership changes that a process still passes on.
 type changeQueue struct {
 	mu    sync.Mutex
-	items []queuedChange
+	items []queuedChange // the least passed first
 }
 
 type queuedChange struct {
@@ -26,28 +34,21 @@
 func (q *changeQueue) add(record *peer.MemberRecord) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for i, item := range q.items {
-		if item.record.Name == record.Name {
-			q.items[i] = queuedChange{record: record, left: passes}
-			return
-		}
-	}
-	q.items = append(q.items, queuedChange{record: record, left: passes})
+	q.items = slices.DeleteFunc(q.items, func(c queuedChange) bool { return c.record.Name == record.Name })
+	q.items = slices.Insert(q.items, 0, queuedChange{record: record, left: passes})
+	q.items = q.items[:min(len(q.items), maxQueued)]
 }
 
-// take returns up to maxChanges changes and counts the pass.
+// take returns up to maxChanges changes, the least passed first, and counts the pass.
 func (q *changeQueue) take() []*peer.MemberRecord {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n := min(maxChanges, len(q.items))
 	var out []*peer.MemberRecord
-	var again []queuedChange
-	for _, item := range q.items[:n] {
-		out = append(out, item.record)
-		if item.left--; item.left > 0 {
-			again = append(again, item)
-		}
+	for i := range min(maxChanges, len(q.items)) {
+		out = append(out, q.items[i].record)
+		q.items[i].left--
 	}
-	q.items = append(q.items[n:], again...)
+	q.items = slices.DeleteFunc(q.items, func(c queuedChange) bool { return c.left <= 0 })
+	slices.SortStableFunc(q.items, func(a, b queuedChange) int { return cmp.Compare(b.left, a.left) })
 	return out
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,47 +24,74 @@
 	// fetchTimeout bounds the fetch of a whole configuration from a peer.
 	fetchTimeout = 5 * time.Second
 	// fanout is how many peers a process tells of a newer revision at once.
-	// With 3 a revision reaches 4,940 processes in about 8 steps.
+	// With 3 a revision reaches 95% of 4,940 processes in about 8 steps, and the
+	// others by their own next exchange or two.
 	fanout = 3
-	// watchRecheck is how often a process asks itself whether it is a watcher.
-	watchRecheck = time.Second
-	watchRetry   = time.Second
 	// maxChanges bounds the membership changes that one exchange carries.
 	maxChanges = 16
+	// compareEvery is the number of exchanges from one comparison of tables to
+	// the next. A comparison costs 1 KB, and 2.5 KB for each member that differs.
+	compareEvery = 30
+	// maxTable bounds the records of one comparison; the next one continues.
+	maxTable = 1024
+	// probes is how many suspect members a process asks per ExchangeInterval.
+	probes = 2
 )
 
+// Quarantine is a process's copy of the record of quarantined requests.
+type Quarantine interface {
+	// Encoded returns the stored record and its index; the value is nil when the
+	// copy is not newer than have.
+	Encoded(have uint64) (index uint64, value []byte)
+	// Adopt takes a record from a peer; an older one changes nothing.
+	Adopt(index uint64, value []byte) (newer bool, err error)
+	// Follow waits for a newer record in the key-value service.
+	Follow(ctx context.Context) (newer bool, err error)
+}
+
 // Options are the dependencies of a Relay.
 type Options struct {
-	Cache *Cache
-	Store *configstore.Store
-	Table *membership.Table
+	Cache      *Cache
+	Store      *configstore.Store
+	Table      *membership.Table
+	Quarantine Quarantine
 	// Self returns the member record of this process as of now.
-	Self   func() membership.Member
+	Self func() membership.Member
+	// Client calls peers. Its connections should be short-lived, because each
+	// exchange has another random peer; see NewClient.
 	Client *http.Client
 	Secret string
 	Logger *log.Logger
 }
 
-// Relay keeps a process's configuration and membership in step with its peers.
+// Relay keeps a process's configuration, membership and quarantine record in
+// step with its peers.
 type Relay struct {
 	Options
 	changes changeQueue
 
 	mu       sync.Mutex
 	fetching bool
+	newestAt time.Time // when the newest revision took effect here
 
 	exchanges atomic.Int64
+	answers   atomic.Int64
 	fetches   atomic.Int64
 	watching  atomic.Bool
+	pulling   atomic.Bool
 }
 
 // State is the relay's part of the state dump.
 type State struct {
-	Revision  uint64             `json:"revision"`
-	Watching  bool               `json:"watching"`
-	Exchanges int64              `json:"exchanges"`
-	Fetches   int64              `json:"fetches"`
-	Members   []membership.State `json:"-"`
+	Revision uint64 `json:"revision"`
+	// RevisionAgeSeconds is the time since the revision took effect here.
+	RevisionAgeSeconds float64 `json:"revision_age_seconds"`
+	QuarantineIndex    uint64  `json:"quarantine_index"`
+	Watching           bool    `json:"watching"`
+	// Exchanges were begun by this process, Answers by its peers.
+	Exchanges int64 `json:"exchanges"`
+	Answers   int64 `json:"answers"`
+	Fetches   int64 `json:"fetches"`
 }
 
 // New returns a relay.
@@ -72,12 +99,20 @@
 
 // State returns the dump of the relay.
 func (r *Relay) State() State {
-	return State{
+	s := State{
 		Revision:  r.Cache.Revision(),
 		Watching:  r.watching.Load(),
 		Exchanges: r.exchanges.Load(),
+		Answers:   r.answers.Load(),
 		Fetches:   r.fetches.Load(),
 	}
+	s.QuarantineIndex, _ = r.Quarantine.Encoded(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.newestAt.IsZero() {
+		s.RevisionAgeSeconds = time.Since(r.newestAt).Seconds()
+	}
+	return s
 }
 
 // Run exchanges with peers and watches the service until ctx ends.
@@ -85,45 +120,11 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { r.exchangeLoop(ctx) })
 	wg.Go(func() { r.watchLoop(ctx) })
+	wg.Go(func() { r.quarantineLoop(ctx) })
 	wg.Wait()
 	return nil
 }
 
-// Start takes the newest configuration that it can find: from several peers and
-// from the key-value service, whichever answers. A process is not ready before
-// it returns nil.
-func (r *Relay) Start(ctx context.Context) error {
-	for {
-		r.catchUp(ctx)
-		if r.Cache.Revision() > 0 {
-			return nil
-		}
-		if !sleep(ctx, ExchangeInterval) {
-			return errors.Wrap(ctx.Err(), "no configuration; check that the key-value service or a peer is reachable and that a ticket was applied")
-		}
-	}
-}
-
-// startPeers is how many peers a starting process asks.
-const startPeers = 5
-
-func (r *Relay) catchUp(ctx context.Context) {
-	for _, m := range pickPeers(r.Self().Name, r.Table.Members(), startPeers, rand.Uint64) {
-		r.exchange(ctx, m)
-	}
-	if r.Cache.Revision() > 0 {
-		return
-	}
-	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	state, err := r.Store.Load(callCtx)
-	if err != nil {
-		r.Logger.Warn("key-value service gave no configuration; asking peers", "err", err)
-		return
-	}
-	r.adoptState(ctx, state)
-}
-
 func (r *Relay) adoptState(ctx context.Context, state *configstore.State) {
 	if state.Head.Revision == 0 {
 		return
@@ -134,22 +135,53 @@
 		return
 	}
 	if newer {
-		r.Logger.Info("configuration in effect", "revision", r.Cache.Revision(), "from", "key-value service")
-		r.Announce(ctx)
+		r.inEffect(ctx, "key-value service")
 	}
 }
 
-// Announce tells a few random peers at once of this process's state and revision.
+// inEffect tells peers of a revision that just took effect here.
+func (r *Relay) inEffect(ctx context.Context, source string) {
+	r.mu.Lock()
+	r.newestAt = time.Now()
+	r.mu.Unlock()
+	r.Logger.Info("configuration in effect", "revision", r.Cache.Revision(), "from", source)
+	r.Announce(ctx)
+}
+
+// Announce tells a few random peers at once of this process's state, its
+// revision and its quarantine record.
 func (r *Relay) Announce(ctx context.Context) {
-	for _, m := range pickPeers(r.Self().Name, r.Table.Members(), fanout, rand.Uint64) {
-		go r.exchange(ctx, m)
+	self := r.self()
+	for _, m := range pickPeers(self.Name, r.Table.Members(), fanout, rand.IntN) {
+		go r.exchange(ctx, m, false)
+	}
+}
+
+// self returns this process's record and keeps the table in step with it, so
+// that tables can be compared.
+func (r *Relay) self() membership.Member {
+	m := r.Self()
+	r.Table.MergeSelf(m)
+	return m
+}
+
+// Changed passes on members that changed by a read of the platform's list.
+func (r *Relay) Changed(members []membership.Member) {
+	for _, m := range members {
+		if m.Name != r.Self().Name {
+			r.changes.add(peer.RecordOf(m))
+		}
 	}
 }
 
 func (r *Relay) exchangeLoop(ctx context.Context) {
-	for sleep(ctx, jitter(ExchangeInterval)) {
-		for _, m := range pickPeers(r.Self().Name, r.Table.Members(), 1, rand.Uint64) {
-			r.exchange(ctx, m)
+	for n := 1; sleep(ctx, jitter(ExchangeInterval)); n++ {
+		self, members := r.self(), r.Table.Members()
+		for _, m := range suspects(self.Name, members, probes, rand.IntN) {
+			go r.exchange(ctx, m, false)
+		}
+		for _, m := range pickPeers(self.Name, members, 1, rand.IntN) {
+			r.exchange(ctx, m, n%compareEvery == 0)
 		}
 	}
 }
@@ -161,40 +193,73 @@
 }
 
 // exchange swaps records and revisions with one peer and fetches what is newer.
-func (r *Relay) exchange(ctx context.Context, m membership.Member) {
+func (r *Relay) exchange(ctx context.Context, m membership.Member, compare bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r.exchanges.Add(1)
-	resp, err := peer.NewClient(m.PeerAddress, r.Client, r.Secret).Exchange(callCtx, &peer.ExchangeRequest{
-		Self:    peer.RecordOf(r.Self()),
-		Changes: r.changes.take(),
-	})
+	index, _ := r.Quarantine.Encoded(0)
+	req := &peer.ExchangeRequest{Self: peer.RecordOf(r.Self()), Changes: r.changes.take(), QuarantineIndex: index}
+	if compare {
+		req.TableDigest = r.Table.Digest()
+	}
+	resp, err := peer.NewClient(m.PeerAddress, r.Client, r.Secret).Exchange(callCtx, req)
 	if err != nil {
 		if ctx.Err() == nil {
 			r.Table.Report(m.Name, m.Incarnation, membership.Suspect)
 		}
 		return
 	}
-	if m.State == membership.Suspect {
-		r.Table.Report(m.Name, m.Incarnation, membership.Serving)
-	}
-	r.take(resp.Self)
-	for _, c := range resp.Changes {
-		r.take(c)
-	}
+	r.takeSelf(resp.Self)
+	r.takeRelayed(resp.Changes)
+	// Records of a comparison are old news to most, so they are not passed on.
+	r.Table.MergeRelayed(r.foreign(resp.Table))
+	r.takeQuarantine(ctx, resp)
 	r.fetchIfNewer(ctx, resp.Self)
 }
 
-// take merges a record and passes it on when it was news.
-func (r *Relay) take(record *peer.MemberRecord) {
+// takeSelf merges what a peer said of itself and passes it on when it was news.
+func (r *Relay) takeSelf(record *peer.MemberRecord) {
 	if record == nil || record.Name == "" || record.Name == r.Self().Name {
 		return
 	}
-	if r.Table.Merge(peer.MemberOf(record)) {
+	if r.Table.MergeSelf(peer.MemberOf(record)) {
 		r.changes.add(record)
 	}
 }
 
+func (r *Relay) takeRelayed(records []*peer.MemberRecord) {
+	for _, m := range r.Table.MergeRelayed(r.foreign(records)) {
+		r.changes.add(peer.RecordOf(m))
+	}
+}
+
+// foreign decodes the records of other processes than this one.
+func (r *Relay) foreign(records []*peer.MemberRecord) []membership.Member {
+	self := r.Self().Name
+	var list []membership.Member
+	for _, record := range records {
+		if record != nil && record.Name != "" && record.Name != self {
+			list = append(list, peer.MemberOf(record))
+		}
+	}
+	return list
+}
+
+// takeQuarantine adopts a newer quarantine record and tells others of it.
+func (r *Relay) takeQuarantine(ctx context.Context, resp *peer.ExchangeResponse) {
+	if len(resp.Quarantine) == 0 {
+		return
+	}
+	newer, err := r.Quarantine.Adopt(resp.QuarantineIndex, resp.Quarantine)
+	if err != nil {
+		r.Logger.Error("quarantine record of a peer is damaged; keeping the one in effect", "err", err)
+		return
+	}
+	if newer {
+		r.Announce(context.WithoutCancel(ctx))
+	}
+}
+
 // fetchIfNewer fetches the configuration of a peer that has a newer one. One
 // fetch runs at a time; a missed one is made up by the next exchange.
 func (r *Relay) fetchIfNewer(ctx context.Context, record *peer.MemberRecord) {
@@ -210,8 +275,7 @@
 		return
 	}
 	if newer {
-		r.Logger.Info("configuration in effect", "revision", r.Cache.Revision(), "from", record.Name)
-		r.Announce(context.WithoutCancel(ctx))
+		r.inEffect(context.WithoutCancel(ctx), record.Name)
 	}
 }
 
@@ -259,30 +323,6 @@
 	return r.Cache.Adopt(resp.Head, fresh)
 }
 
-// watchLoop watches the service while this process is one of the watchers.
-func (r *Relay) watchLoop(ctx context.Context) {
-	var index uint64
-	for ctx.Err() == nil {
-		watches := Watches(r.Self(), r.Table.Members())
-		r.watching.Store(watches)
-		if !watches {
-			if !sleep(ctx, watchRecheck) {
-				return
-			}
-			continue
-		}
-		state, err := r.Store.Watch(ctx, index)
-		if err != nil {
-			if !sleep(ctx, jitter(watchRetry)) {
-				return
-			}
-			continue
-		}
-		index = state.Index
-		r.adoptState(ctx, state)
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -9,12 +9,31 @@
 // HandleExchange answers an exchange of a peer. When the peer is ahead, the
 // fetch follows in the background, so that the answer does not wait for it.
 func (r *Relay) HandleExchange(ctx context.Context, req *peer.ExchangeRequest) *peer.ExchangeResponse {
-	r.take(req.Self)
-	for _, c := range req.Changes {
-		r.take(c)
+	r.answers.Add(1)
+	r.takeSelf(req.Self)
+	r.takeRelayed(req.Changes)
+	background := context.WithoutCancel(ctx)
+	go r.fetchIfNewer(background, req.Self)
+	resp := &peer.ExchangeResponse{Self: peer.RecordOf(r.Self()), Changes: r.changes.take()}
+	resp.QuarantineIndex, resp.Quarantine = r.Quarantine.Encoded(req.QuarantineIndex)
+	if resp.QuarantineIndex < req.QuarantineIndex {
+		go r.pullQuarantine(background, req.Self)
 	}
-	go r.fetchIfNewer(context.WithoutCancel(ctx), req.Self)
-	return &peer.ExchangeResponse{Self: peer.RecordOf(r.Self()), Changes: r.changes.take()}
+	if len(req.TableDigest) > 0 {
+		for _, m := range r.Table.Differing(req.TableDigest, maxTable) {
+			resp.Table = append(resp.Table, peer.RecordOf(m))
+		}
+	}
+	return resp
+}
+
+// pullQuarantine exchanges with a peer that has a newer quarantine record.
+func (r *Relay) pullQuarantine(ctx context.Context, record *peer.MemberRecord) {
+	if record == nil || !r.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.pulling.Store(false)
+	r.exchange(ctx, peer.MemberOf(record), false)
 }
 
 // HandleFetchConfig answers a fetch of a peer.
--- a/internal/relay/watchers.go
+++ b/internal/relay/watchers.go
@@ -19,38 +19,63 @@
 // talking; when they differ for a while there are more watchers, or fewer in
 // one domain, and peers of other domains fill the gap.
 func Watches(self membership.Member, members []membership.Member) bool {
-	weight := watcherWeight(self.Name)
+	return outranked(self, self, members) < watchersPerDomain
+}
+
+// outranked counts the serving members of m's failure domain that come before m.
+// self counts as serving: it would not ask otherwise.
+func outranked(m, self membership.Member, members []membership.Member) int {
+	weight := watcherWeight(m.Name)
 	before := 0
-	for _, m := range members {
-		if m.Name == self.Name || m.FailureDomain != self.FailureDomain || m.State != membership.Serving {
+	for _, o := range members {
+		if o.Name == m.Name || o.FailureDomain != m.FailureDomain || o.State != membership.Serving && o.Name != self.Name {
 			continue
 		}
-		other := watcherWeight(m.Name)
-		if cmp.Or(cmp.Compare(other, weight), cmp.Compare(m.Name, self.Name)) > 0 {
+		other := watcherWeight(o.Name)
+		if cmp.Or(cmp.Compare(other, weight), cmp.Compare(o.Name, m.Name)) > 0 {
 			before++
 		}
 	}
-	return before < watchersPerDomain
+	return before
 }
 
 func watcherWeight(name string) uint64 { return xxhash.Sum64String("config-watcher/" + name) }
 
-// pickPeers returns up to n members in the order of random keys, without self.
-func pickPeers(self string, members []membership.Member, n int, random func() uint64) []membership.Member {
-	type keyed struct {
-		key    uint64
-		member membership.Member
-	}
-	var list []keyed
-	for _, m := range members {
-		if m.Name != self && m.PeerAddress != "" {
-			list = append(list, keyed{key: random(), member: m})
+// pickPeers returns up to n different random members without self. Members that
+// are suspect are left out; they are probed by themselves.
+func pickPeers(self string, members []membership.Member, n int, random func(int) int) []membership.Member {
+	var out []membership.Member
+	// Three tries for each peer find it among members that are mostly usable.
+	for range min(3*n, 3*len(members)) {
+		m := members[random(len(members))]
+		same := func(o membership.Member) bool { return o.Name == m.Name }
+		if m.Name == self || m.PeerAddress == "" || m.State == membership.Suspect || slices.ContainsFunc(out, same) {
+			continue
+		}
+		if out = append(out, m); len(out) == n {
+			break
 		}
 	}
-	slices.SortFunc(list, func(a, b keyed) int { return cmp.Compare(a.key, b.key) })
+	return out
+}
+
+// suspects returns up to n suspect members, beginning at a random one.
+func suspects(self string, members []membership.Member, n int, random func(int) int) []membership.Member {
+	if len(members) == 0 {
+		return nil
+	}
 	var out []membership.Member
-	for i := range min(n, len(list)) {
-		out = append(out, list[i].member)
+	first := random(len(members))
+	for i := range members {
+		m := members[(first+i)%len(members)]
+		if m.State == membership.Suspect && m.Name != self && len(out) < n {
+			out = append(out, m)
+		}
 	}
 	return out
 }
+
+// others reports whether a member besides self is known.
+func others(self string, members []membership.Member) bool {
+	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.Name != self })
+}
