--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,321 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/peer"
+	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
+	"github.com/fescueslip/fescueslip/internal/relay"
+	"github.com/fescueslip/fescueslip/internal/standin/instances"
+	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+const (
+	secret = "secret"
+	// dialDelay stands for the round trips of a new connection and its call.
+	dialDelay = 3 * time.Millisecond
+	listLag   = 30 * time.Second
+	// entryShare is the number of processes per entry, about as at the target size.
+	entryShare = 9
+)
+
+// fleet is the control part of n processes: members, relay, quarantine and the
+// clients of the platform, over an in-memory network in virtual time.
+type fleet struct {
+	t       testing.TB
+	network *memnet.Network
+	kv      *kvstore.Store
+	kvHTTP  *kvstore.Server
+	list    *instances.Server
+	procs   []*proc
+
+	mu   sync.Mutex
+	side func(address string) int // partition; nil when there is none
+}
+
+type proc struct {
+	fleet       *fleet
+	name        string
+	domain      string
+	role        string
+	incarnation uint64
+
+	table   *membership.Table
+	holder  *config.Holder
+	keeper  *quarantine.Keeper
+	relay   *relay.Relay
+	poller  *membership.Poller
+	kv      *platform.Client
+	traffic *relay.Traffic
+	state   membership.State
+	mu      sync.Mutex
+
+	stop func()
+}
+
+type peerServer struct {
+	peer.Peer
+	relay *relay.Relay
+}
+
+// Exchange implements peer.Peer.
+func (s peerServer) Exchange(ctx context.Context, req *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	return s.relay.HandleExchange(ctx, req), nil
+}
+
+// FetchConfig implements peer.Peer.
+func (s peerServer) FetchConfig(_ context.Context, req *peer.FetchConfigRequest) (*peer.FetchConfigResponse, error) {
+	return s.relay.HandleFetchConfig(req), nil
+}
+
+func listen(t testing.TB, n *memnet.Network, address string) net.Listener {
+	l, err := n.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// newFleet prepares n processes in the given number of failure domains, with a
+// configuration of some callers in the key-value service.
+func newFleet(t testing.TB, n, domains, callers int) *fleet {
+	f := &fleet{t: t, network: memnet.New(dialDelay)}
+	// The rates are checked by the counts, so the service itself refuses nothing.
+	f.kv = kvstore.NewStore(kvstore.Options{Latency: 3 * time.Millisecond, ReadsPerSecond: 1e6, WritesPerSecond: 1e6})
+	f.kvHTTP = kvstore.Serve(f.kv, listen(t, f.network, "kv:80"), nil)
+	f.list = instances.Serve(instances.New(listLag), listen(t, f.network, "list:80"))
+	f.apply(firstTicket(callers))
+	for i := range n {
+		role := "sidecar"
+		if i%entryShare == 0 {
+			role = "entry"
+		}
+		p := &proc{fleet: f, name: fmt.Sprintf("process-%05d", i), domain: fmt.Sprintf("region-%d-domain-%d", i%domains%7, i%domains), role: role}
+		f.procs = append(f.procs, p)
+		f.list.Register(instances.Instance{Name: p.name, Role: p.role, FailureDomain: p.domain, PeerAddress: p.address(), Incarnation: 1})
+	}
+	return f
+}
+
+func firstTicket(callers int) string {
+	var b strings.Builder
+	b.WriteString("ticket: 1\nobjects:\n  - kind: pool\n    name: d\n    spec: {role: decode}\n")
+	for i := range callers {
+		fmt.Fprintf(&b, "  - kind: caller\n    name: caller-%05d\n    spec: {key_sha256: %x, share: 1}\n", i, sha256.Sum256([]byte{byte(i), byte(i >> 8)}))
+	}
+	return b.String()
+}
+
+func changeTicket(number int) string {
+	return fmt.Sprintf("ticket: %d\nobjects:\n  - kind: caller\n    name: caller-%05d\n    spec: {key_sha256: %x, share: 2}\n",
+		number, number, sha256.Sum256([]byte{byte(number), byte(number >> 8)}))
+}
+
+// apply accepts a ticket by a client of its own, as the command line does.
+func (f *fleet) apply(text string) {
+	f.t.Helper()
+	ticket, err := config.ParseTicket("ticket", []byte(text))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	kv := f.newKV(f.network.Dial)
+	defer kv.Close()
+	if _, err := configstore.New(configstore.Options{KV: kv}).Accept(f.t.Context(), ticket); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) newKV(dial platform.DialFunc) *platform.Client {
+	kv, err := platform.NewClient(platform.ClientOptions{URL: "http://kv:80", Dial: dial})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return kv
+}
+
+func (f *fleet) startAll() {
+	for _, p := range f.procs {
+		p.start()
+	}
+}
+
+func (f *fleet) stopAll() {
+	for _, p := range f.procs {
+		p.stop()
+	}
+}
+
+// close ends everything; timers and dials under way end in the seconds after it.
+func (f *fleet) close() {
+	f.stopAll()
+	_ = f.kvHTTP.Close()
+	f.kv.Close()
+	_ = f.list.Close()
+	time.Sleep(time.Minute)
+}
+
+func (p *proc) address() string { return p.name + ":80" }
+
+func (p *proc) member() membership.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return membership.Member{Name: p.name, Role: p.role, FailureDomain: p.domain, PeerAddress: p.address(),
+		Incarnation: p.incarnation, State: p.state, ConfigRevision: p.holder.Revision()}
+}
+
+func (p *proc) setState(s membership.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+// dial refuses connections over a partition.
+func (p *proc) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	p.fleet.mu.Lock()
+	side := p.fleet.side
+	p.fleet.mu.Unlock()
+	if side != nil && side(p.address()) != side(address) {
+		return nil, errors.New("network is unreachable")
+	}
+	return p.fleet.network.Dial(ctx, network, address)
+}
+
+// partition closes all connections and refuses those between different sides
+// from now on; nil ends it.
+func (f *fleet) partition(side func(address string) int) {
+	f.mu.Lock()
+	f.side = side
+	f.mu.Unlock()
+	addresses := []string{"kv:80", "list:80"}
+	for _, p := range f.procs {
+		addresses = append(addresses, p.address())
+	}
+	for _, a := range addresses {
+		f.network.Cut(a)
+		f.network.Restore(a)
+	}
+}
+
+// start runs the process as a new incarnation.
+func (p *proc) start() {
+	f := p.fleet
+	logger := log.New(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.setState(membership.Starting)
+	p.incarnation++
+	p.table, p.holder, p.traffic = membership.NewTable(), config.NewHolder(), new(relay.Traffic)
+	p.kv = f.newKV(p.dial)
+	p.keeper = quarantine.NewKeeper(p.kv, logger)
+	list, err := platform.NewInstancesClient(platform.InstancesOptions{URL: "http://list:80", Dial: p.dial})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	client := relay.NewClient(p.dial, p.traffic)
+	p.relay = relay.New(relay.Options{
+		Cache: relay.NewCache(p.holder), Store: configstore.New(configstore.Options{KV: p.kv}), Table: p.table,
+		Quarantine: p.keeper, Self: p.member, Client: client, Secret: secret, Logger: logger,
+	})
+	table := p.table
+	p.poller = &membership.Poller{Table: table, Instances: list, Interval: 2 * time.Second, Changed: p.relay.Changed, Logger: logger,
+		Reader: func() bool { return relay.Watches(p.member(), table.Members()) }}
+	service := peer.NewPeerServer(peerServer{relay: p.relay})
+	server := wire.NewServer(wire.RequireSecret(secret, service))
+	server.ErrorLog = logger.StandardLog()
+	listener := listen(f.t, f.network, p.address())
+	go func() { _ = server.Serve(listener) }()
+	var loops sync.WaitGroup
+	loops.Go(func() { _ = p.poller.Run(ctx) })
+	loops.Go(func() { _ = p.relay.Run(ctx) })
+	loops.Go(func() { _ = p.keeper.RunWriter(ctx) })
+	loops.Go(func() {
+		if p.relay.Start(ctx) == nil {
+			p.setState(membership.Serving)
+			p.relay.Announce(ctx)
+		}
+	})
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = server.Close()
+		loops.Wait()
+		client.CloseIdleConnections()
+		p.kv.Close()
+		list.Close()
+	})
+}
+
+// waitRevision returns how long each process takes until the revision is in
+// force, or fails after limit.
+func (f *fleet) waitRevision(revision uint64, limit time.Duration) []time.Duration {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	begin := time.Now()
+	took := make([]time.Duration, len(f.procs))
+	var wg sync.WaitGroup
+	for i, p := range f.procs {
+		wg.Go(func() {
+			if _, err := p.holder.Wait(ctx, revision); err != nil {
+				f.t.Errorf("%s has revision %d, want %d within %v", p.name, p.holder.Revision(), revision, limit)
+			}
+			took[i] = time.Since(begin)
+		})
+	}
+	wg.Wait()
+	return took
+}
+
+// kvRates samples the calls per second to the key-value service until stop.
+func (f *fleet) kvRates() (stop func() rates) {
+	done, result := make(chan struct{}), make(chan rates)
+	go func() {
+		var r rates
+		last := f.kv.Counters()
+		begin := last
+		start := time.Now()
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				now := f.kv.Counters()
+				r.mean = float64(calls(now)-calls(begin)) / time.Since(start).Seconds()
+				r.reads, r.watches = now.Reads-begin.Reads, now.Watches-begin.Watches
+				result <- r
+				return
+			case <-tick.C:
+			}
+			now := f.kv.Counters()
+			r.peak = max(r.peak, float64(calls(now)-calls(last)))
+			r.peakWrites = max(r.peakWrites, float64(now.Writes+now.Refused-last.Writes-last.Refused))
+			last = now
+		}
+	}()
+	return func() rates { close(done); return <-result }
+}
+
+type rates struct {
+	mean, peak, peakWrites float64
+	reads, watches         int
+}
+
+func calls(c kvstore.Counters) int { return c.Reads + c.Watches + c.Dropped }
+
+var _ http.Handler = peer.NewPeerServer(peerServer{})
--- a/internal/entry/subsets.go
+++ b/internal/entry/subsets.go
@@ -21,10 +21,26 @@
 
 type poolSubset struct {
 	revision uint64
+	members  *membership.Member // first of the members that entries were taken from
 	entries  []string
+	pool     []string // all upstreams of the pool
 	names    []string
 }
 
+// current reports whether the subset follows from the same configuration and
+// the same members. A view publishes a new slice with each change, so the check
+// takes no time that grows with the members.
+func (s *poolSubset) current(revision uint64, members []membership.Member) bool {
+	return s != nil && s.revision == revision && s.members == first(members)
+}
+
+func first(members []membership.Member) *membership.Member {
+	if len(members) == 0 {
+		return nil
+	}
+	return &members[0]
+}
+
 // of returns the names of the upstreams that this entry uses in a pool.
 func (c *subsetCache) of(snap *config.Snapshot, view membership.View, self, pool string) []string {
 	p, _ := c.byPool.LoadOrStore(pool, new(atomic.Pointer[poolSubset]))
@@ -33,13 +49,19 @@
 	if len(upstreams) <= subset.DefaultSize {
 		return c.all(cell, snap.Revision, upstreams)
 	}
-	entries := entryNames(view)
-	if s := cell.Load(); s != nil && s.revision == snap.Revision && slices.Equal(s.entries, entries) {
+	members := view.Members()
+	s := cell.Load()
+	if s.current(snap.Revision, members) {
 		return s.names
 	}
-	names := subset.Of(self, entries, upstreamNames(upstreams), subset.DefaultSize)
-	cell.Store(&poolSubset{revision: snap.Revision, entries: entries, names: names})
-	return names
+	next := &poolSubset{revision: snap.Revision, members: first(members), entries: entryNames(members), pool: upstreamNames(upstreams)}
+	if s != nil && slices.Equal(s.entries, next.entries) && slices.Equal(s.pool, next.pool) {
+		next.names = s.names
+	} else {
+		next.names = subset.Of(self, next.entries, next.pool, subset.DefaultSize)
+	}
+	cell.Store(next)
+	return next.names
 }
 
 func (c *subsetCache) all(cell *atomic.Pointer[poolSubset], revision uint64, upstreams []*config.Upstream) []string {
@@ -59,9 +81,9 @@
 	return names
 }
 
-func entryNames(view membership.View) []string {
+func entryNames(members []membership.Member) []string {
 	var names []string
-	for _, m := range view.Members() {
+	for _, m := range members {
 		if m.Role == entryRole && m.State.AcceptsWork() {
 			names = append(names, m.Name)
 		}
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -129,6 +129,13 @@
 
 func (c *conn) setSilent(v bool) { c.out.setSilent(v) }
 
+// isClosed reports whether this end was closed.
+func (c *conn) isClosed() bool {
+	c.in.mu.Lock()
+	defer c.in.mu.Unlock()
+	return c.in.closed
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) { return c.in.read(b) }
 
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -66,7 +66,7 @@
 	client, server := newPair(addr)
 	client.setSilent(n.silent[addr])
 	server.setSilent(n.silent[addr])
-	n.links[addr] = append(n.links[addr], client, server)
+	n.links[addr] = append(withoutClosed(n.links[addr]), client, server)
 	n.mu.Unlock()
 	select {
 	case l.accept <- server:
@@ -76,6 +76,19 @@
 	}
 }
 
+// withoutClosed drops the pairs of which both ends are closed, so that an address
+// that is dialled every second does not collect them.
+func withoutClosed(links []*conn) []*conn {
+	open := links[:0]
+	for i := 0; i < len(links); i += 2 {
+		if !links[i].isClosed() || !links[i+1].isClosed() {
+			open = append(open, links[i], links[i+1])
+		}
+	}
+	clear(links[len(open):])
+	return open
+}
+
 // Cut closes all connections to addr and refuses new ones until Restore.
 func (n *Network) Cut(addr string) {
 	n.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,9 @@
 	// compareEvery is the number of exchanges from one comparison of tables to
 	// the next. A comparison costs 1 KB, and 2.5 KB for each member that differs.
 	compareEvery = 30
+	// farBehind is the number of news in a comparison after which the next one
+	// follows at once, as after a start or the end of a partition.
+	farBehind = 8
 	// maxTable bounds the records of one comparison; the next one continues.
 	maxTable = 1024
 	// probes is how many suspect members a process asks per ExchangeInterval.
@@ -79,6 +82,7 @@
 	fetches   atomic.Int64
 	watching  atomic.Bool
 	pulling   atomic.Bool
+	behind    atomic.Bool // the last comparison had much news
 }
 
 // State is the relay's part of the state dump.
@@ -181,7 +185,7 @@
 			go r.exchange(ctx, m, false)
 		}
 		for _, m := range pickPeers(self.Name, members, 1, rand.IntN) {
-			r.exchange(ctx, m, n%compareEvery == 0)
+			r.exchange(ctx, m, n%compareEvery == 1 || r.behind.Load())
 		}
 	}
 }
@@ -211,8 +215,10 @@
 	}
 	r.takeSelf(resp.Self)
 	r.takeRelayed(resp.Changes)
-	// Records of a comparison are old news to most, so they are not passed on.
-	r.Table.MergeRelayed(r.foreign(resp.Table))
+	if compare {
+		// Records of a comparison are old news to most, so they are not passed on.
+		r.behind.Store(len(r.Table.MergeRelayed(r.foreign(resp.Table))) >= farBehind)
+	}
 	r.takeQuarantine(ctx, resp)
 	r.fetchIfNewer(ctx, resp.Self)
 }
