--- /dev/null
+++ b/internal/capacity/memory_test.go
@@ -0,0 +1,172 @@
+package capacity
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+var measureMemory = flag.Bool("measure-memory", false, "measure memory and the cost of frames; the figures go into testdata/measured.json")
+
+const memoryCommand = "`go test ./internal/capacity -run TestMeasureMemory -measure-memory`"
+
+// TestMeasureMemory measures the memory of what grows with the system. Without
+// -measure-memory it only shows that the measuring itself stays in order.
+func TestMeasureMemory(t *testing.T) {
+	m, err := Load(measuredFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sizes := []int{10, 50, 200}
+	if *measureMemory {
+		sizes = []int{50, 200, 1000, 2000}
+	}
+	for _, n := range sizes {
+		add := func(name, unit, per string, target, y float64) {
+			m.Add(Series{Name: name, Unit: unit, Per: per, Scale: Linear, Target: target, Command: memoryCommand}, float64(n), y)
+		}
+		add("memory: table of members", "B", "members", 4940, retained(func() any { return fullTable(n) }))
+		add("memory: snapshot, callers", "B", "callers", 18000, retained(func() any { return config.Build(1, callerObjects(n)) }))
+		add("memory: snapshot, upstreams", "B", "upstreams", 4400, retained(func() any { return config.Build(1, upstreamObjects(n)) }))
+		bytes, cpu := streamCost(t, n)
+		add("memory: open streams, both ends", "B", "streams", 1200, bytes)
+		add("processor time: one token frame each way per stream, both ends", "s", "streams", 1200, cpu)
+	}
+	if *measureMemory {
+		if err := m.Save(measuredFile); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// retained returns the bytes of the heap that a value keeps.
+func retained(build func() any) float64 {
+	before := heap()
+	v := build()
+	after := heap()
+	runtime.KeepAlive(v)
+	return after - before
+}
+
+func fullTable(n int) *membership.Table {
+	table := membership.NewTable()
+	list := make([]membership.Member, n)
+	for i := range list {
+		list[i] = membership.Member{
+			Name: fmt.Sprintf("sidecar-model-%05d", i), Role: "sidecar", Upstream: fmt.Sprintf("decode-model-%05d", i),
+			FailureDomain: fmt.Sprintf("region-1-domain-%d", i%20), Region: fmt.Sprintf("region-%d", i%7),
+			PeerAddress: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250), AdminAddress: fmt.Sprintf("10.1.%d.%d:9001", i/250, i%250),
+			Incarnation: 1, State: membership.Serving,
+		}
+	}
+	table.MergeRelayed(list)
+	return table
+}
+
+func callerObjects(n int) (o config.Objects) {
+	for i := range n {
+		name := fmt.Sprintf("caller-%05d", i)
+		o.Callers = append(o.Callers, &config.Caller{Name: name, KeySHA256: fmt.Sprintf("%x", sha256.Sum256([]byte(name))), Share: 1})
+	}
+	return o
+}
+
+func upstreamObjects(n int) (o config.Objects) {
+	o.Pools = []*config.Pool{{Name: "decode-model", Role: config.RoleDecode}}
+	for i := range n {
+		o.Upstreams = append(o.Upstreams, &config.Upstream{Name: fmt.Sprintf("decode-model-%05d", i), Pool: "decode-model", Kind: config.UpstreamModel})
+	}
+	return o
+}
+
+func newReply() *wire.DecodeReply     { return new(wire.DecodeReply) }
+func newRequest() *wire.DecodeRequest { return new(wire.DecodeRequest) }
+
+// hintOf is a load hint of usual size.
+func hintOf() *wire.Load {
+	return &wire.Load{Upstream: "decode-model-00001", Running: 18, Slots: 20, FreeChunks: 7, Queued: 3, QueuedCost: 9000,
+		WaitMs: 120, Incarnation: uint64(time.Now().UnixNano()), ConfigRevision: 2600}
+}
+
+// streamCost opens n streams to one sidecar over loopback and returns the memory
+// of both ends and the processor time of one token frame on each stream.
+func streamCost(t *testing.T, n int) (bytes, cpu float64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const rounds = 5
+	token := &wire.DecodeReply{Load: hintOf(), Body: &wire.DecodeReply_Tokens{Tokens: &wire.Tokens{Attempt: 1, Index: 500, Text: []string{" word"}}}}
+	server := wire.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s, err := wire.Accept[*wire.DecodeReply](w, r, newRequest)
+		if err != nil {
+			return
+		}
+		defer s.Close()
+		for {
+			if _, err := s.Recv(); err != nil {
+				return
+			}
+			for range rounds {
+				_ = s.Send(token)
+			}
+		}
+	}))
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	client := wire.NewClient(wire.DefaultDial())
+	defer client.CloseIdleConnections()
+	before := memory()
+	streams := make([]*wire.Stream[*wire.DecodeRequest, *wire.DecodeReply], n)
+	for i := range streams {
+		if streams[i], err = wire.Dial[*wire.DecodeRequest](t.Context(), client, "http://"+l.Addr().String(), "", newReply); err != nil {
+			t.Fatal(err)
+		}
+		defer streams[i].Close()
+	}
+	bytes = memory() - before
+	begin := processorTime()
+	for _, s := range streams {
+		if err := s.Send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Renew{Renew: &wire.Renew{}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, s := range streams {
+		for range rounds {
+			if _, err := s.Recv(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return bytes, (processorTime() - begin).Seconds() / rounds
+}
+
+// memory returns the live bytes of the heap and of the stacks.
+func memory() float64 {
+	used := heap()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return used + float64(s.StackInuse)
+}
+
+// TestHintBytes reports the size of a load hint and of the frames that carry it.
+// It guards against a hint that grows beyond what the page says.
+func TestHintBytes(t *testing.T) {
+	hint := hintOf()
+	frame := &wire.DecodeReply{Load: hint, Body: &wire.DecodeReply_Tokens{Tokens: &wire.Tokens{Attempt: 1, Index: 500, Text: []string{" word"}}}}
+	t.Logf("hint %d B, token frame with hint %d B", proto.Size(hint), proto.Size(frame))
+	if proto.Size(hint) > 64 {
+		t.Errorf("a hint has %d B", proto.Size(hint))
+	}
+}
--- /dev/null
+++ b/internal/capacity/policy_test.go
@@ -0,0 +1,173 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/policy/choose"
+	"github.com/fescueslip/fescueslip/internal/policy/subset"
+)
+
+const (
+	targetEntries   = 540
+	targetUpstreams = 220 // per model
+	targetDomains   = 20
+	policySeed      = 101
+)
+
+func names(prefix string, n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s-%04d", prefix, i)
+	}
+	return list
+}
+
+func coverage(assigned map[string][]string, upstreams []string) (low, high int) {
+	count := make(map[string]int)
+	for _, list := range assigned {
+		for _, u := range list {
+			count[u]++
+		}
+	}
+	low = len(assigned)
+	for _, u := range upstreams {
+		low, high = min(low, count[u]), max(high, count[u])
+	}
+	return low, high
+}
+
+// moved counts the links of after that before lacks.
+func moved(before, after map[string][]string) int {
+	n := 0
+	for e, list := range after {
+		for _, u := range list {
+			if !slices.Contains(before[e], u) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against uneven coverage and mass movement at the target size.
+func TestSubsetAtTargetSize(t *testing.T) {
+	entries, upstreams := names("entry", targetEntries), names("upstream", targetUpstreams)
+	begin := processorTime()
+	all := subset.Assign(entries, upstreams, subset.DefaultSize)
+	took := processorTime() - begin
+	low, high := coverage(all, upstreams)
+	fewerEntries := subset.Assign(entries[1:], upstreams, subset.DefaultSize)
+	fewerUpstreams := subset.Assign(entries, upstreams[1:], subset.DefaultSize)
+	domain := subset.Assign(entries, upstreams[targetUpstreams/targetDomains:], subset.DefaultSize)
+	t.Logf("coverage %d to %d; links moved: entry leaves %d of %d, upstream leaves %d (must %d), domain leaves %d (must %d); computing %v",
+		low, high, moved(all, fewerEntries), targetEntries*subset.DefaultSize, moved(all, fewerUpstreams), low,
+		moved(all, domain), low*targetUpstreams/targetDomains, took)
+	if high-low > 1 {
+		t.Errorf("coverage from %d to %d", low, high)
+	}
+	if m := moved(all, fewerEntries); m > 8*subset.DefaultSize {
+		t.Errorf("an entry that leaves moves %d links", m)
+	}
+}
+
+// BenchmarkSubset measures the computing of one pool's assignment at the target size.
+func BenchmarkSubset(b *testing.B) {
+	entries, upstreams := names("entry", targetEntries), names("upstream", targetUpstreams)
+	for b.Loop() {
+		subset.Of(entries[7], entries, upstreams, subset.DefaultSize)
+	}
+}
+
+// population draws the upstreams of one model as an entry sees them.
+type population struct {
+	rnd     *rand.Rand
+	domains int
+}
+
+func (p *population) domainOf(i int) string { return fmt.Sprintf("domain-%d", i%p.domains) }
+
+// prefills draws waits with the mean of a queue at load 0.8 and hints of a few 100 ms.
+func (p *population) prefills(pick []int, wait time.Duration) []choose.Prefill {
+	list := make([]choose.Prefill, len(pick))
+	for i, u := range pick {
+		list[i] = choose.Prefill{
+			Name: fmt.Sprintf("prefill-%d", u), Domain: p.domainOf(u),
+			Wait: time.Duration(p.rnd.ExpFloat64() * float64(wait)),
+			Age:  time.Duration(p.rnd.ExpFloat64() * float64(300*time.Millisecond)),
+		}
+	}
+	return list
+}
+
+func (p *population) decodes(pick []int) []choose.Decode {
+	list := make([]choose.Decode, len(pick))
+	for i, u := range pick {
+		list[i] = choose.Decode{
+			Name: fmt.Sprintf("decode-%d", u), Domain: p.domainOf(u), Slots: 20,
+			FreeSlots: max(0, p.rnd.IntN(10)-4), FreeChunks: 40,
+			Wait: time.Duration(p.rnd.ExpFloat64() * float64(100*time.Millisecond)),
+			Age:  time.Duration(p.rnd.ExpFloat64() * float64(300*time.Millisecond)), PerRequest: 200 * time.Millisecond,
+		}
+	}
+	return list
+}
+
+// variant is what is changed about the choice of the prefill side.
+type variant struct {
+	prefix bool // the prompt has leading blocks, which give it a preferred upstream
+	local  bool // only candidates in the failure domain of the decode side
+}
+
+// crossing returns the share of transfers between failure domains when each
+// entry chooses among subset.DefaultSize upstreams of each pool.
+func crossing(domains, pool int, wait time.Duration, v variant) float64 {
+	p := &population{rnd: rand.New(rand.NewPCG(policySeed, 1)), domains: domains}
+	const requests = 4000
+	crossed := 0
+	for range requests {
+		decodes := p.decodes(p.rnd.Perm(pool)[:subset.DefaultSize])
+		first, _ := choose.DecodeUpstreams(decodes, choose.DecodeNeed{Chunks: 2, Domain: p.domainOf(p.rnd.IntN(domains))}, p.rnd)
+		near := decodes[first].Domain
+		var pick []int
+		for _, u := range p.rnd.Perm(pool) {
+			if len(pick) < subset.DefaultSize && (!v.local || p.domainOf(u) == near) {
+				pick = append(pick, u)
+			}
+		}
+		prefills := p.prefills(pick, wait)
+		prompt := choose.Prompt{Tokens: 4000, Rate: 8000, Domain: near}
+		if v.prefix {
+			hash := p.rnd.Uint64N(5000)
+			prompt.Hashes = []uint64{hash, hash + 1}
+		}
+		at := choose.PrefillUpstream(prefills, prompt)
+		if prefills[at].Domain != near {
+			crossed++
+		}
+	}
+	return float64(crossed) / requests
+}
+
+// TestCrossingShare reports which share of the KV cache crosses failure domains
+// on a synthetic population. It guards the direction only: restricted candidates
+// cross nothing, and without a preferred upstream idle queues cross less than
+// loaded ones.
+func TestCrossingShare(t *testing.T) {
+	const pool, busy, idle = targetUpstreams / 2, 100 * time.Millisecond, time.Millisecond
+	for _, domains := range []int{3, 5, 10, 20} {
+		plainBusy, plainIdle := crossing(domains, pool, busy, variant{}), crossing(domains, pool, idle, variant{})
+		t.Logf("%2d domains: with leading blocks %.3f (mean prefill wait 100 ms) and %.3f (1 ms), without %.3f and %.3f; random choice %.3f",
+			domains, crossing(domains, pool, busy, variant{prefix: true}), crossing(domains, pool, idle, variant{prefix: true}),
+			plainBusy, plainIdle, 1-1/float64(domains))
+		if plainIdle > plainBusy {
+			t.Errorf("%d domains: %.3f cross when idle, %.3f when busy", domains, plainIdle, plainBusy)
+		}
+	}
+	if local := crossing(targetDomains, pool, busy, variant{prefix: true, local: true}); local != 0 {
+		t.Errorf("%.3f cross although all candidates are in the domain", local)
+	}
+}
--- /dev/null
+++ b/internal/entry/conn_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/memnet"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// Guards against a sidecar that is silent or unreachable and stays a first
+// choice, and against one that is suspected because a request was cancelled.
+func TestStreamsReportTheirSidecar(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(n *memnet.Network, cancel func())
+		want  []membership.State
+	}{
+		{"unreachable", func(n *memnet.Network, _ func()) { n.Cut("sidecar:1") }, []membership.State{membership.Suspect}},
+		{"answers", func(*memnet.Network, func()) {}, []membership.State{membership.Serving}},
+		{"goes silent", func(n *memnet.Network, _ func()) {
+			time.AfterFunc(time.Second, func() { n.Silence("sidecar:1", false) })
+		}, []membership.State{membership.Serving, membership.Suspect}},
+		{"cancelled", func(_ *memnet.Network, cancel func()) { time.AfterFunc(time.Second, cancel) }, []membership.State{membership.Serving}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := memnet.New(time.Millisecond)
+				l, err := n.Listen("sidecar:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				srv := wire.NewServer(http.HandlerFunc(beatUntilEnd))
+				go func() { _ = srv.Serve(l) }()
+				client := wire.NewClient(n.Dial)
+				ctx, cancel := context.WithCancel(t.Context())
+				c.fault(n, cancel)
+				if got := reportsOf(ctx, client); !slices.Equal(got, c.want) {
+					t.Errorf("got %v, want %v", got, c.want)
+				}
+				cancel()
+				_ = srv.Close()
+				client.CloseIdleConnections()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+func beatUntilEnd(w http.ResponseWriter, r *http.Request) {
+	s, err := wire.Accept[*wire.DecodeReply](w, r, func() *wire.DecodeRequest { return new(wire.DecodeRequest) })
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	go s.Heartbeat(func() *wire.DecodeReply { return new(wire.DecodeReply) })
+	for {
+		if _, err := s.Recv(); err != nil {
+			return
+		}
+	}
+}
+
+// reportsOf opens a stream and returns what it reports within ten seconds.
+func reportsOf(ctx context.Context, client *http.Client) []membership.State {
+	reports := make(chan membership.State, 16)
+	conn := new(decodeConn)
+	openConn(ctx, target{member: membership.Member{PeerAddress: "sidecar:1"}}, streamCall[*wire.DecodeRequest, *wire.DecodeReply]{
+		client: client, path: "/stream/decode", first: renewDecode(), renew: renewDecode,
+		newR:    func() *wire.DecodeReply { return new(wire.DecodeReply) },
+		deliver: func(*wire.DecodeReply, error) {},
+		report:  func(s membership.State) { reports <- s },
+	}, conn)
+	time.Sleep(10 * time.Second)
+	conn.cancel()
+	time.Sleep(10 * time.Second)
+	close(reports)
+	var list []membership.State
+	for s := range reports {
+		list = append(list, s)
+	}
+	return list
+}
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -32,16 +32,39 @@
 
 // starter decides when a process without a configuration may read the service.
 type starter struct {
-	relay  *Relay
-	headAt time.Time // the earliest time to read the head
+	relay *Relay
+	// readAt is the earliest next read of the head, by position.
+	readAt map[position]time.Time
 	loadAt time.Time // the earliest time to load all pages; zero before the head is known
 }
 
+// position is what a process knows of its duty towards the service.
+type position int
+
+const (
+	alone   position = iota // knows nobody
+	watcher                 // is one of the watchers of its failure domain
+	other
+)
+
+func (r *Relay) position() position {
+	self, members := r.Self(), r.Table.Members()
+	switch {
+	case !others(self.Name, members):
+		return alone
+	case Watches(self, members):
+		return watcher
+	default:
+		return other
+	}
+}
+
 // Start takes the newest configuration that it can find: from several peers, and
 // from the key-value service if this process is a watcher or no peer has any. A
 // process is not ready before it returns nil.
 func (r *Relay) Start(ctx context.Context) error {
 	s := starter{relay: r}
+	s.planRead()
 	for {
 		r.askPeers(ctx)
 		if r.Cache.Revision() == 0 {
@@ -71,54 +94,30 @@
 	}
 }
 
-func (s *starter) askService(ctx context.Context) {
+// planRead chooses the time of the next read of the head for each position.
+func (s *starter) planRead() {
 	now := time.Now()
-	alone, watcher := s.position()
-	switch {
-	case s.headAt.IsZero():
-		s.headAt = now.Add(firstReadDelay(alone, watcher))
-	case watcher && !alone:
-		// The members may have become known since.
-		s.headAt = earlier(s.headAt, now)
-	}
-	if now.Before(s.headAt) {
-		return
-	}
-	if s.loadAt.IsZero() {
-		s.planLoad(ctx, alone, watcher)
-	}
-	if !s.loadAt.IsZero() && !time.Now().Before(s.loadAt) {
-		s.load(ctx)
+	s.readAt = map[position]time.Time{
+		alone:   now.Add(rand.N(aloneSpread)),
+		watcher: now,
+		other:   now.Add(patience + rand.N(patienceSpread)),
 	}
 }
 
-func (s *starter) position() (alone, watcher bool) {
-	self, members := s.relay.Self(), s.relay.Table.Members()
-	return !others(self.Name, members), Watches(self, members)
-}
-
-func firstReadDelay(alone, watcher bool) time.Duration {
-	switch {
-	case alone:
-		return rand.N(aloneSpread)
-	case watcher:
-		return 0
-	default:
-		return patience + rand.N(patienceSpread)
+func (s *starter) askService(ctx context.Context) {
+	at := s.relay.position()
+	if s.loadAt.IsZero() && !time.Now().Before(s.readAt[at]) {
+		s.planLoad(ctx, at)
 	}
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+	if !s.loadAt.IsZero() && !time.Now().Before(s.loadAt) {
+		s.load(ctx)
 	}
-	return b
 }
 
 // planLoad reads the head, whose number of pages tells how many processes to
 // expect: only a large system has a large configuration.
-func (s *starter) planLoad(ctx context.Context, alone, watcher bool) {
-	s.headAt = time.Now().Add(firstReadDelay(alone, watcher))
+func (s *starter) planLoad(ctx context.Context, at position) {
+	s.planRead()
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	head, err := s.relay.Store.Head(callCtx)
@@ -130,7 +129,7 @@
 		return
 	}
 	spread := otherPerPage
-	if watcher && !alone {
+	if at == watcher {
 		spread = watcherPerPage
 	}
 	s.loadAt = time.Now()
@@ -156,7 +155,7 @@
 func domainWatchers(self membership.Member, members []membership.Member) []membership.Member {
 	var list []membership.Member
 	for _, m := range members {
-		if m.Name != self.Name && m.FailureDomain == self.FailureDomain && m.State == membership.Serving && outranked(m, self, members) < watchersPerDomain {
+		if m.Name != self.Name && m.FailureDomain == self.FailureDomain && canWatch(m) && outranked(m, self, members) < watchersPerDomain {
 			list = append(list, m)
 		}
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -11,6 +11,9 @@
 	// watchRecheck is how often a process asks itself whether it is a watcher.
 	watchRecheck = time.Second
 	watchRetry   = time.Second
+	// dutyDelay is how long a process must belong to the watchers before it
+	// watches. A silent connection is noticed and probed within that time.
+	dutyDelay = 3 * time.Second
 	// alonePause slows the watches of a process that knows nobody. Should all
 	// 4,940 processes be alone, they make about 1,000 calls/s for each value.
 	alonePause = 3 * time.Second
@@ -21,15 +24,32 @@
 	roleEntry     = "entry"
 )
 
+// duty turns a condition that may change from second to second into one that
+// lasts: a watcher that is suspect for a moment must not be replaced by every
+// process that cannot reach it.
+type duty struct{ since time.Time }
+
+func (d *duty) holds(now bool) bool {
+	if !now {
+		d.since = time.Time{}
+		return false
+	}
+	if d.since.IsZero() {
+		d.since = time.Now()
+	}
+	return time.Since(d.since) >= dutyDelay
+}
+
 // watchLoop watches the configuration while this process is one of the watchers.
 func (r *Relay) watchLoop(ctx context.Context) {
 	var index uint64
+	var watcher duty
 	for ctx.Err() == nil {
 		self, members := r.Self(), r.Table.Members()
-		watches := Watches(self, members)
-		r.watching.Store(watches)
 		// Before Start has found a configuration, a watch would load all of it.
-		if !watches || r.Cache.Revision() == 0 {
+		watches := watcher.holds(r.Cache.Revision() > 0 && Watches(self, members))
+		r.watching.Store(watches)
+		if !watches {
 			sleep(ctx, watchRecheck)
 			continue
 		}
@@ -50,9 +70,12 @@
 // quarantineLoop follows the quarantine record while this process is one of the
 // watchers or one of few entries.
 func (r *Relay) quarantineLoop(ctx context.Context) {
+	var follower duty
 	for ctx.Err() == nil {
 		self, members := r.Self(), r.Table.Members()
-		if !followsQuarantine(self, members) {
+		// Before Start is done the members are not known, and all processes of a
+		// restart would take themselves for watchers.
+		if !follower.holds(r.Cache.Revision() > 0 && followsQuarantine(self, members)) {
 			sleep(ctx, watchRecheck)
 			continue
 		}
--- a/internal/relay/watchers.go
+++ b/internal/relay/watchers.go
@@ -22,13 +22,14 @@
 	return outranked(self, self, members) < watchersPerDomain
 }
 
-// outranked counts the serving members of m's failure domain that come before m.
-// self counts as serving: it would not ask otherwise.
+// outranked counts the members of m's failure domain that come before m and can
+// watch. Starting members count: otherwise, while all processes restart, each
+// would take itself for a watcher.
 func outranked(m, self membership.Member, members []membership.Member) int {
 	weight := watcherWeight(m.Name)
 	before := 0
 	for _, o := range members {
-		if o.Name == m.Name || o.FailureDomain != m.FailureDomain || o.State != membership.Serving && o.Name != self.Name {
+		if o.Name == m.Name || o.FailureDomain != m.FailureDomain || !canWatch(o) && o.Name != self.Name {
 			continue
 		}
 		other := watcherWeight(o.Name)
@@ -39,6 +40,10 @@
 	return before
 }
 
+func canWatch(m membership.Member) bool {
+	return m.State == membership.Starting || m.State == membership.Serving
+}
+
 func watcherWeight(name string) uint64 { return xxhash.Sum64String("config-watcher/" + name) }
 
 // pickPeers returns up to n different random members without self. Members that
