--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,7 @@
 	events   *telemetry.FlightLog
 	metrics  *Metrics
 	log      *log.Logger
+	limited  *telemetry.LimitedLog
 
 	hints       hintTable
 	streams     streamCounter
@@ -95,6 +96,7 @@
 	accounts    accountTable
 	lengths     *lengths
 	cache       *prefixCache
+	usage       *usageTable
 	retries     retries
 	subsets     subsetCache
 	quarantine  *quarantine.Keeper
@@ -119,9 +121,11 @@
 		events:   o.Events,
 		metrics:  o.Metrics,
 		log:      o.Logger,
+		limited:  telemetry.NewLimitedLog(o.Logger),
 
 		lengths:    newLengths(),
 		cache:      newPrefixCache(),
+		usage:      newUsageTable(),
 		quarantine: o.Quarantine,
 	}
 	e.handler = e.routes()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,10 +162,13 @@
 }
 
 // self returns this process's record and keeps the table in step with it, so
-// that tables can be compared.
+// that tables can be compared. An empty table stays empty: a process that knows
+// nobody is not ready.
 func (r *Relay) self() membership.Member {
 	m := r.Self()
-	r.Table.MergeSelf(m)
+	if len(r.Table.Members()) > 0 {
+		r.Table.MergeSelf(m)
+	}
 	return m
 }
 
