--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -296,7 +296,7 @@
 	x.send(&wire.DecodeReply{Body: &wire.DecodeReply_Beat{Beat: &wire.Beat{}}})
 }
 
-// frame adds the load hints that every frame carries.
+// frame adds the load hints that every frame but those of tokens carries.
 func (x *decodeSession) frame(m *wire.DecodeReply) *wire.DecodeReply {
 	m.Load = x.s.load()
 	return m
