Move prefills whose real wait is longer than promised; stronger affinity

Trace of late requests: small prompts waited 1-5 s in prefill queues, because entries believed in cache hits that were gone and hints were old.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -63,6 +63,7 @@
 	useful    int // computed tokens of the prefill in use
 	decoding  int
 	waits     bool
+	moves     int
 	refusedBy []*decodeServer
 }
 
--- a/internal/bench/entry_prefill.go
+++ b/internal/bench/entry_prefill.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"time"
+
 	"github.com/fescueslip/fescueslip/internal/policy/choose"
 	"github.com/fescueslip/fescueslip/internal/policy/reserve"
 )
@@ -103,6 +105,40 @@
 	}
 }
 
+// prefillQueued moves a job whose real wait is longer than what another server
+// promises.
+func (e *entry) prefillQueued(j *prefillJob, ahead time.Duration) {
+	r := j.req
+	if r.outcome != open || r.job != j || r.moves >= maxMoves {
+		return
+	}
+	candidates, servers := e.prefillCandidates(r)
+	current := ahead + j.estimate
+	for i, c := range candidates {
+		if servers[i] == j.srv {
+			continue
+		}
+		other := c.Wait + e.w.p.engine.PrefillTime(max(1, r.tokens()-c.CachedTokens))
+		if other+moveMargin < current {
+			r.moves++
+			e.w.send(e.domain, j.srv.domain, func() { j.srv.release(j) })
+			return
+		}
+	}
+}
+
+// prefillReleased sends a job elsewhere after its server gave it back.
+func (e *entry) prefillReleased(j *prefillJob) {
+	if j.req.outcome == open && j.req.job == j {
+		e.prefill(j.req)
+	}
+}
+
+const (
+	maxMoves   = 3
+	moveMargin = 30 * time.Millisecond
+)
+
 // prefillRefused ends a request that a full queue has turned away.
 func (e *entry) prefillRefused(j *prefillJob) {
 	if j.req.outcome == open && j.req.job == j {
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -18,7 +18,7 @@
 	// affinityBlocks is the number of leading blocks that select the preferred
 	// prefill upstream. More blocks would scatter prompts that share only a
 	// system prompt over different caches.
-	affinityBlocks = 4
+	affinityBlocks = 2
 	// DefaultAffinity bounds the additional estimated wait that the preferred
 	// prefill upstream may have, as a fraction of the prefill time that a
 	// complete cache hit saves.
@@ -95,8 +95,7 @@
 	if f <= 0 {
 		f = DefaultAffinity
 	}
-	leading := min(len(p.Hashes), affinityBlocks) * BlockTokens
-	return time.Duration(f * float64(seconds(float64(leading)/p.Rate)))
+	return time.Duration(f * float64(p.work(0)))
 }
 
 func affinityKey(hashes []uint64) uint64 {
--- a/internal/policy/fairqueue/queue_test.go
+++ b/internal/policy/fairqueue/queue_test.go
@@ -128,6 +128,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			q := New()
+			q.Slack = 1 // the expected orders are those of this slack
 			for _, it := range c.push {
 				q.Push(0, it)
 			}
