--- a/internal/bench/decode.go
+++ b/internal/bench/decode.go
@@ -114,7 +114,7 @@
 	}
 	s.queue.Push(s.w.now, l.item)
 	if l.req.delivered == 0 {
-		s.w.at(l.req.arrival+s.w.p.settings.queueLimit, func() { s.overdue(l) })
+		s.w.at(admit.Overdue(l.req.arrival, s.w.p.settings.queueLimit), func() { s.overdue(l) })
 	}
 	s.grant()
 }
@@ -125,12 +125,9 @@
 	}
 	rate := s.rate()
 	return admit.Decide(admit.Input{
-		Wait:           s.queue.Wait(cost, rate),
-		CallerWait:     s.queue.CallerWait(l.req.caller.name, l.req.caller.share, cost, rate),
-		Work:           l.prefill,
-		Target:         s.w.p.settings.ttft,
-		QueueLimit:     s.w.p.settings.queueLimit,
-		UsageOverShare: 0,
+		Wait:       s.queue.Wait(cost, rate),
+		CallerWait: s.queue.CallerWait(l.req.caller.name, l.req.caller.share, cost, rate),
+		QueueLimit: s.w.p.settings.queueLimit,
 	})
 }
 
--- a/internal/bench/metrics.go
+++ b/internal/bench/metrics.go
@@ -10,7 +10,7 @@
 	fairWindow = 10
 	// minWindows is the number of common windows that a comparison needs; in
 	// fewer ones, the size of single requests decides the ratio.
-	minWindows = 3
+	minWindows = 10
 )
 
 // metrics collects what a run shows. Seconds index the series.
--- a/internal/bench/profile.go
+++ b/internal/bench/profile.go
@@ -60,7 +60,7 @@
 		oneWay: 1500 * time.Microsecond, engine: engineCosts(),
 		settings: settings{
 			ttft: time.Second, tpot: 46 * time.Millisecond,
-			anticipation: 0, queueLimit: 600 * time.Millisecond, maxYield: 10 * time.Second, quantile: 0.7,
+			anticipation: 0, queueLimit: 600 * time.Millisecond, maxYield: 10 * time.Second, quantile: 0.5,
 		},
 	}
 }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -4,29 +4,19 @@
 
 import "time"
 
-const (
-	// minRetryAfter keeps refused callers from re-sending at once.
-	minRetryAfter = 500 * time.Millisecond
-	// overShareTolerance is the usage beyond the share that is not yet held
-	// against a caller; short bursts are normal.
-	overShareTolerance = 1.25
-)
+// minRetryAfter keeps refused callers from re-sending at once.
+const minRetryAfter = 500 * time.Millisecond
 
 // Input is what is known when a request arrives.
 type Input struct {
-	// Wait is the estimated wait of the whole queue at the best upstream.
+	// Wait is the estimated wait of the whole queue.
 	Wait time.Duration
 	// CallerWait is the estimated wait given the caller's own backlog and share.
 	CallerWait time.Duration
-	// Work is the estimated time from leaving the queue to the first token.
-	Work time.Duration
-	// Target is the first-token target.
-	Target time.Duration
+	// Waited is how long the request has waited already, for example elsewhere.
+	Waited time.Duration
 	// QueueLimit bounds the wait above which a request is refused.
 	QueueLimit time.Duration
-	// UsageOverShare is the caller's recent usage divided by its part of the
-	// capacity; 1 means that it uses exactly its share.
-	UsageOverShare float64
 }
 
 // Decision tells whether to accept the request.
@@ -36,19 +26,18 @@
 	RetryAfter time.Duration
 }
 
-// Decide accepts or refuses. A caller within its share is refused only when its
-// wait exceeds the limit. A caller beyond its share is held to the wait that
-// still meets the first-token target, when the system is busy enough for
-// others to miss theirs.
+// Decide accepts or refuses. The shorter of the two waits counts: a long queue
+// of others is no reason to refuse a caller that its share lets overtake them,
+// and a caller's long backlog is none while the whole queue is short.
 func Decide(in Input) Decision {
-	limit := in.QueueLimit
-	wait := min(in.Wait, in.CallerWait)
-	if in.UsageOverShare > overShareTolerance {
-		limit = min(limit, max(0, in.Target-in.Work))
-		wait = max(in.Wait, in.CallerWait)
-	}
-	if wait <= limit {
+	wait := in.Waited + min(in.Wait, in.CallerWait)
+	if wait <= in.QueueLimit {
 		return Decision{Accept: true}
 	}
-	return Decision{RetryAfter: max(minRetryAfter, wait-limit)}
+	return Decision{RetryAfter: max(minRetryAfter, wait-in.QueueLimit)}
 }
+
+// Overdue returns when a request that still waits must be refused: its estimate
+// was wrong, and whoever waits for longer than the limit takes the place of
+// those that can still meet their target.
+func Overdue(arrival, queueLimit time.Duration) time.Duration { return arrival + queueLimit }
--- a/internal/policy/fairqueue/order.go
+++ b/internal/policy/fairqueue/order.go
@@ -36,14 +36,18 @@
 // aged item waits for room.
 func (q *Queue) best(now time.Duration, limit float64, fits func(*Item) bool) (owner *caller, it *Item, blocked bool) {
 	found := none
+	agedLimit := q.lowestStart() + q.slack()
 	for _, c := range q.active {
-		if c.level > limit {
+		if c.start > agedLimit && c.level > limit {
 			continue
 		}
 		cand, k, wait := c.first(now, fits)
-		if wait {
+		if wait && c.start <= agedLimit {
 			return nil, nil, true
 		}
+		if k != aged && c.level > limit || k == aged && c.start > agedLimit {
+			continue
+		}
 		if k < found || k == found && k != none && c.before(owner) {
 			owner, it, found = c, cand, k
 		}
@@ -90,10 +94,14 @@
 	return q.Slack * q.meanCost * float64(len(q.active)) / total
 }
 
-// measure computes the service per share of the waiting callers.
+// measure computes the service per share that each waiting caller has once its
+// next item is served. Without that item, callers with a small share were ahead
+// by it on average. Aged items are compared without it, so that a large one is
+// not held against its caller.
 func (q *Queue) measure(now time.Duration) {
 	for _, c := range q.active {
-		c.level = c.total(now) / c.share
+		c.start = c.total(now) / c.share
+		c.level = c.start + c.cost/float64(len(c.items))/c.share
 	}
 }
 
@@ -101,6 +109,14 @@
 	return c.served.At(now) + c.elsewhere.At(now)
 }
 
+func (q *Queue) lowestStart() float64 {
+	lowest := math.Inf(1)
+	for _, c := range q.active {
+		lowest = min(lowest, c.start)
+	}
+	return lowest
+}
+
 func (q *Queue) lowestAbove(limit float64) float64 {
 	lowest := math.Inf(1)
 	for _, c := range q.active {
--- a/internal/policy/fairqueue/queue.go
+++ b/internal/policy/fairqueue/queue.go
@@ -25,7 +25,7 @@
 	UsageTau = 10 * time.Second
 	// DefaultSlack is the difference in served cost per unit of share, in units
 	// of the mean cost of an item, below which callers count as equal.
-	DefaultSlack = 2.0
+	DefaultSlack = 1.0
 	// meanWeight is the weight of a new item in the mean cost.
 	meanWeight = 0.02
 	// forgetAfter is how long an idle caller is remembered; its lead has decayed
@@ -67,7 +67,8 @@
 	served    Usage            // here
 	elsewhere Usage            // sum of the reports
 	reports   map[string]Usage // by source
-	level     float64          // service per share at the time of the current Pop
+	start     float64          // see measure
+	level     float64          // see measure
 }
 
 // Queue is a weighted fair queue. Use New.
