--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -1,6 +1,8 @@
 package bench
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 )
@@ -112,3 +114,17 @@
 		}
 	}
 }
+
+// Guards against a sweep that reports an error after success or leaves out files.
+func TestSweepWritesCurves(t *testing.T) {
+	dir := t.TempDir()
+	cfg := SweepConfig{Base: Config{Profile: "consortium", Load: 1, Policy: Fescueslip, Seed: 1, Duration: 10 * time.Second}, Seeds: 1, Dir: dir}
+	if err := Sweep(cfg); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"load.csv", "anticipation.csv", "goodput.png", "waste.png", "anticipation.png"} {
+		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/bench/sweep.go
+++ b/internal/bench/sweep.go
@@ -186,7 +186,7 @@
 	if err := plotutil.AddLinePoints(pl, lines...); err != nil {
 		return errors.Wrap(err, "plot")
 	}
-	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(cfg.Dir, file)), "save plot")
+	return cfg.save(pl, file)
 }
 
 func xys(points []point, policy string, value func(Result) float64) plotter.XYs {
@@ -218,5 +218,12 @@
 		return errors.Wrap(err, "label")
 	}
 	pl.Add(labels)
-	return errors.Wrap(pl.Save(plotWidth, plotHeight, filepath.Join(cfg.Dir, "anticipation.png")), "save plot")
+	return cfg.save(pl, "anticipation.png")
+}
+
+func (cfg SweepConfig) save(pl *plot.Plot, file string) error {
+	if err := pl.Save(plotWidth, plotHeight, filepath.Join(cfg.Dir, file)); err != nil {
+		return errors.Wrap(err, "save plot")
+	}
+	return nil
 }
