--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -160,6 +160,61 @@
 	}
 }
 
+// Guards against memory or accounting that a fault leaves behind, and against
+// requests that never end, under random faults of both engines.
+func TestRandomFaultsAgainstStandIns(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			inPair(t, nil, func(p *pair) {
+				rng := rand.New(rand.NewPCG(seed, 2))
+				done := make(chan string)
+				const n = 60
+				for i := range n {
+					id, tokens := fmt.Sprint("r", i), 100+rng.IntN(3500)
+					go func() { done <- p.request(id, tokens, time.Duration(rng.IntN(4)-1)*2*time.Second) }()
+					time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+					if i%10 == 9 {
+						p.fault(rng)
+					}
+				}
+				for range n {
+					<-done
+				}
+				time.Sleep(10 * time.Second)
+				if n := p.held(); n != 0 {
+					t.Fatalf("%d tokens held", n)
+				}
+				for _, s := range p.sides {
+					if st := s.State(); st.Requests != 0 || st.Decode.ChunksUsed != 0 || st.Prefill.Running+st.Prefill.Held != 0 || st.Engine != EngineUp {
+						t.Fatalf("left over: %+v", st)
+					}
+				}
+				if got := p.request("last", 1000, -1); got != "done" {
+					t.Fatalf("after the faults: %s", got)
+				}
+			})
+		})
+	}
+}
+
+// fault starts a random fault of a random engine.
+func (p *pair) fault(rng *rand.Rand) {
+	role := []engine.Role{engine.RolePrefill, engine.RoleDecode}[rng.IntN(2)]
+	d := time.Duration(500+rng.IntN(4000)) * time.Millisecond
+	switch e := p.engines[role]; rng.IntN(5) {
+	case 0:
+		e.Crash(d)
+	case 1:
+		e.Pause(d)
+	case 2:
+		e.Silence(d, rng.IntN(2) == 0)
+	case 3:
+		e.StallTransfer(d)
+	default:
+		e.Slow(standin.SlowFactor, d)
+	}
+}
+
 // request runs one request; it leaves after the given time unless that is negative.
 func (p *pair) request(id string, tokens int, leave time.Duration) string {
 	prompt := id + " " + words(tokens-1)
@@ -208,14 +263,8 @@
 // fail over within 3 s, its memory be freed and the next one succeed.
 func TestSilentEngineConnection(t *testing.T) {
 	inPair(t, nil, func(p *pair) {
-		prompt := words(1000)
-		d := p.reserve(reserveFrame("a", "x"))
+		d := p.decoding("a")
 		defer d.Close()
-		d.until(isGranted)
-		pre, ready := p.prefill("a", prompt, 1000)
-		defer pre.Close()
-		d.importFrom(ready, prompt, 10_000)
-		d.until(isTokens)
 		p.net.Silence("engine-decode:80", false)
 		begin := time.Now()
 		if m := d.until(isLast); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_ENGINE {
@@ -231,7 +280,56 @@
 		if st := p.sides[engine.RoleDecode].State(); st.Crashes != 0 || st.Engine != EngineUp {
 			t.Fatalf("a silent connection counts as a crash: %+v", st)
 		}
-		if got := p.request("b", 1000, -1); got != "done" {
+		d = p.decoding("b")
+		defer d.Close()
+		p.net.Silence("engine-decode:80", false)
+		d.cancel()
+		time.Sleep(250 * time.Millisecond)
+		if n := p.engines[engine.RoleDecode].Counters().HeldTokens; n != 0 {
+			t.Fatalf("engine holds %d tokens after a cancel over silent connections", n)
+		}
+		if got := p.request("c", 1000, -1); got != "done" {
+			t.Fatalf("the next request: %s", got)
+		}
+	})
+}
+
+// decoding returns the stream of a request that has begun to decode.
+func (p *pair) decoding(id string) *decodeStream {
+	prompt := id + " " + words(999)
+	d := p.reserve(reserveFrame(id, "x"))
+	d.until(isGranted)
+	pre, ready := p.prefill(id, prompt, 1000)
+	defer pre.Close()
+	d.importFrom(ready, prompt, 10_000)
+	if d.until(func(m *wire.DecodeReply) bool { return isTokens(m) || isLast(m) }).GetTokens() == nil {
+		p.t.Fatal("no tokens")
+	}
+	return d
+}
+
+// Guards against an engine that hangs: requests must be told in time and not be
+// taken for crashers, new ones be refused, and memory be freed when it is back.
+func TestPausedEngine(t *testing.T) {
+	inPair(t, nil, func(p *pair) {
+		d := p.decoding("a")
+		defer d.Close()
+		p.engines[engine.RoleDecode].Pause(6 * time.Second)
+		begin := time.Now()
+		if m := d.until(isLast); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_ENGINE || time.Since(begin) > 3*time.Second {
+			t.Fatalf("got %v after %v", m, time.Since(begin))
+		}
+		time.Sleep(time.Second)
+		next := p.reserve(reserveFrame("b", "x"))
+		defer next.Close()
+		if m := next.until(isLast); m.GetRefused().GetKind() != wire.RefusalKind_REFUSAL_ENGINE_DOWN {
+			t.Fatalf("got %v, want a refusal", m)
+		}
+		time.Sleep(time.Until(begin.Add(9 * time.Second)))
+		if st := p.sides[engine.RoleDecode].State(); st.Crashes != 0 || st.Engine != EngineUp || st.Decode.ChunksUsed != 0 || p.held() != 0 {
+			t.Fatalf("3 s after the pause %d tokens are held: %+v", p.held(), st)
+		}
+		if got := p.request("c", 1000, -1); got != "done" {
 			t.Fatalf("the next request: %s", got)
 		}
 	})
