Let a waiting suspect hold up nobody

A suspect that waited past its target by max_yield for another suspect to end kept the whole queue waiting for up to another max_yield: a request that fitted was queued instead of granted at once.

--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -114,6 +114,29 @@
 	})
 }
 
+// Guards against a suspect that holds up everybody else while it waits for
+// another one to end.
+func TestWaitingSuspectHoldsUpNobody(t *testing.T) {
+	f := newFakeEngine(engine.RoleDecode)
+	f.outputTokens, f.info.CapacityTokens = 10_000, 100_000
+	inRig(t, f, func(r *rig) {
+		for _, id := range []string{"a", "b"} {
+			m := reserveFrame(id, id)
+			m.Suspect = true
+			d := r.decode(m)
+			defer d.Close()
+			d.until(func(m *wire.DecodeReply) bool { return isGranted(m) || isQueued(m) })
+			d.start("h")
+		}
+		time.Sleep(13 * time.Second) // the second one is aged by now
+		d := r.decode(reserveFrame("c", "c"))
+		defer d.Close()
+		if m := d.until(func(m *wire.DecodeReply) bool { return isGranted(m) || isQueued(m) }); m.GetGranted() == nil {
+			t.Fatalf("got %v, want a grant at once", m)
+		}
+	})
+}
+
 // Guards against new work at a leaving upstream, a leaving that entries learn
 // late, and a drain that interrupts work or ends before it.
 func TestLeaveAndDrain(t *testing.T) {
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -84,6 +84,11 @@
 		Deadline: deadline,
 		MaxYield: d.config.Snapshot().Policy.MaxYield,
 	}
+	if c.suspect {
+		// An aged item that does not fit holds up the others, but what a suspect
+		// waits for is another suspect and not room.
+		c.item.MaxYield = 0
+	}
 	d.live[c.id] = c
 }
 
