--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -39,6 +39,7 @@
 		for _, line := range b.finish(b.report) {
 			t.Error(line)
 		}
+		t.Log("figures:", b.worst)
 	})
 }
 
@@ -73,3 +74,16 @@
 	}
 	return strings.TrimSpace(s.String())
 }
+
+// long returns a prompt of n words whose answer is cut off by maxTokens only.
+// The stand-in's answers have a length of their own, by prompt.
+func (b *bench) long(name string, n, maxTokens int) string {
+	for i := range 1000 {
+		prompt := words(fmt.Sprint(name, "-", i), n)
+		if text, _ := b.fleet.options.Params.Answer(prompt, maxTokens); len(strings.Fields(text)) >= maxTokens {
+			return prompt
+		}
+	}
+	b.t.Fatalf("no prompt has an answer of %d tokens", maxTokens)
+	return ""
+}
--- a/internal/demo/platform_test.go
+++ b/internal/demo/platform_test.go
@@ -121,7 +121,7 @@
 				for i := range 60 {
 					calls.Go(func() {
 						time.Sleep(time.Duration(i) * 200 * time.Millisecond)
-						b.call(ctx, i, words(fmt.Sprint("list", i), 600), 300, 0)
+						b.call(ctx, i, b.long(fmt.Sprint("list", i), 600, 200), 200, 0)
 					})
 				}
 				time.Sleep(3 * time.Second)
@@ -158,11 +158,14 @@
 				t.Run(direction+"/"+link+"/"+s.name, func(t *testing.T) {
 					t.Parallel()
 					inFleet(t, nil, func(ctx context.Context, b *bench) {
-						quick := b.call(ctx, 0, words("warm", 1500), 40, 0)
+						quick := b.call(ctx, 0, b.long("warm", 1500, 40), 40, 0)
 						begun := time.Now()
 						done := make(chan modelResult, 1)
-						go func() { done <- b.call(ctx, 0, words("quiet", 1500), 40, 0) }()
+						go func() { done <- b.call(ctx, 0, b.long("quiet", 1500, 40), 40, 0) }()
 						name := b.await(s, begun, 20*time.Second)
+						if name == "" {
+							t.Fatal("the step was not reached")
+						}
 						b.mu.Lock()
 						b.disturbed[name] = time.Now()
 						b.mu.Unlock()
--- a/internal/demo/schedule_test.go
+++ b/internal/demo/schedule_test.go
@@ -91,7 +91,9 @@
 	r := f.Run(ctx, load)
 	background.Wait()
 	time.Sleep(settleTime)
-	return w.finish(r), schedule
+	broken := w.finish(r)
+	t.Log("figures:", w.worst)
+	return broken, schedule
 }
 
 // runFaults starts the faults of a schedule at their times.
--- a/internal/demo/steps_test.go
+++ b/internal/demo/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,9 +83,17 @@
 func (b *bench) failAtStep(ctx context.Context, kind string, v victim, s step, times int) {
 	begun := time.Now()
 	done := make(chan modelResult, 1)
-	go func() { done <- b.call(ctx, 0, words("the", 1500), 40, 0) }()
-	for range times {
+	tokens := 40
+	if strings.HasPrefix(v.name, "entry") {
+		// Long enough that neither memory nor a stop ends with the request.
+		tokens = 300
+	}
+	go func() { done <- b.call(ctx, 0, b.long("the", 1500, tokens), tokens, 0) }()
+	for i := range times {
 		name := b.await(s, begun, 20*time.Second)
+		if name == "" && i == 0 {
+			b.t.Error("the step was not reached")
+		}
 		if name == "" {
 			break // the request has ended with its entry
 		}
@@ -110,7 +119,7 @@
 					defer leave()
 					done := make(chan modelResult, 1)
 					begun := time.Now()
-					go func() { done <- b.call(ctx, 0, words("left", 1500), 40, 0) }()
+					go func() { done <- b.call(ctx, 0, b.long("left", 1500, 40), 40, 0) }()
 					name := b.await(s, begun, 20*time.Second)
 					if name == "" {
 						t.Fatal("the step was not reached")
--- a/internal/demo/watch_test.go
+++ b/internal/demo/watch_test.go
@@ -57,6 +57,11 @@
 	left, fault, ticket time.Duration
 }
 
+// String implements fmt.Stringer.
+func (w worstFigures) String() string {
+	return fmt.Sprintf("memory after a caller left %s, after an entry died or went silent %s, ticket not yet everywhere %s", w.left, w.fault, w.ticket)
+}
+
 type watchedCall struct {
 	entry        int
 	begun, ended time.Time
