--- /dev/null
+++ b/internal/entry/output.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+func (r *runner) tokens(t *wire.Tokens) error {
+	fresh, err := r.req.Accept(t)
+	if err != nil {
+		return r.failAttempt(r.decode.target.upstream, wire.FailureKind_FAILURE_ENGINE, err.Error())
+	}
+	if len(fresh) == 0 {
+		return nil
+	}
+	if r.req.Delivered() == uint64(len(fresh)) {
+		r.entry.observeFirstToken(r.req)
+		r.record("first-token", r.decode.target.upstream, "")
+	}
+	err = r.out.Tokens(fresh)
+	if errors.Is(err, errStopSequence) {
+		return r.finish("stop")
+	}
+	return err
+}
+
+func (r *runner) done(c *decodeConn, d *wire.Done) error {
+	if !r.req.Complete(d) {
+		return r.failAttempt(c.target.upstream, wire.FailureKind_FAILURE_ENGINE, "the end does not match the output")
+	}
+	return r.finish(d.FinishReason)
+}
+
+func (r *runner) finish(reason string) error {
+	r.record("done", r.decode.target.upstream, reason)
+	if err := r.out.Finish(reason); err != nil {
+		return err
+	}
+	return errFinished
+}
--- a/internal/ledger/begin.go
+++ b/internal/ledger/begin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -84,7 +85,7 @@
 	defer cancel()
 	res := l.commit(wctx, claim.intent)
 	if res.verdict == Running && !res.disputed {
-		pause(ctx, resendWait)
+		wait.For(ctx, resendWait)
 		res = l.commit(wctx, claim.intent)
 	}
 	switch {
--- a/internal/ledger/outbox.go
+++ b/internal/ledger/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/fescueslip/fescueslip/internal/wait"
 	"sync"
 	"time"
 )
@@ -95,7 +96,7 @@
 		select {
 		case <-ctx.Done():
 		case <-o.wake[n]:
-			pause(ctx, outboxPeriod)
+			wait.For(ctx, outboxPeriod)
 			o.flushAll(ctx, n)
 		}
 	}
@@ -112,7 +113,7 @@
 			return
 		}
 		if !ok {
-			pause(ctx, outboxBackoff)
+			wait.For(ctx, outboxBackoff)
 		}
 	}
 }
@@ -132,12 +133,3 @@
 	o.done(n, len(batch), back)
 	return len(batch), len(back) == 0
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/plain/repeat.go
+++ b/internal/plain/repeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/wait"
 	"github.com/go-faster/errors"
 )
 
@@ -131,7 +132,7 @@
 	r.cancels[n] = cancel
 	go func() {
 		if pause > 0 {
-			sleep(ctx, pause)
+			wait.For(ctx, pause)
 		}
 		r.results <- r.router.attempt(ctx, r.call, m, n)
 	}()
@@ -187,12 +188,3 @@
 	}
 	return f
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 // Key is the key of the record in the key-value service.
@@ -210,7 +211,7 @@
 		case <-k.wake:
 		}
 		for k.Flush(ctx) != nil {
-			if !sleep(ctx, flushRetry) {
+			if !wait.For(ctx, flushRetry) {
 				return nil
 			}
 			// The record may have moved on while the service was away.
@@ -240,14 +241,3 @@
 	}
 	return k.index, k.raw
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/fescueslip/fescueslip/internal/configstore"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/peer"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -186,7 +187,7 @@
 }
 
 func (r *Relay) exchangeLoop(ctx context.Context) {
-	for n := 1; sleep(ctx, jitter(ExchangeInterval)); n++ {
+	for n := 1; wait.For(ctx, jitter(ExchangeInterval)); n++ {
 		self, members := r.self(), r.Table.Members()
 		for _, m := range suspects(self.Name, members, probes, rand.IntN) {
 			go r.exchange(ctx, m, false)
@@ -337,14 +338,3 @@
 	}
 	return r.Cache.Adopt(resp.Head, fresh)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/relay/start.go
+++ b/internal/relay/start.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -73,7 +74,7 @@
 		if r.Cache.Revision() > 0 {
 			return nil
 		}
-		if !sleep(ctx, jitter(startPause)) {
+		if !wait.For(ctx, jitter(startPause)) {
 			return errors.Wrap(ctx.Err(), "no configuration; check that the key-value service or a peer is reachable and that a ticket was applied")
 		}
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/membership"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -50,19 +51,19 @@
 		watches := watcher.holds(r.Cache.Revision() > 0 && Watches(self, members))
 		r.watching.Store(watches)
 		if !watches {
-			sleep(ctx, watchRecheck)
+			wait.For(ctx, watchRecheck)
 			continue
 		}
 		r.Store.Prime(r.Cache.Pages())
 		state, err := r.Store.Watch(ctx, index)
 		if err != nil {
-			sleep(ctx, jitter(watchRetry))
+			wait.For(ctx, jitter(watchRetry))
 			continue
 		}
 		index = state.Index
 		r.adoptState(ctx, state)
 		if !others(self.Name, members) {
-			sleep(ctx, jitter(alonePause))
+			wait.For(ctx, jitter(alonePause))
 		}
 	}
 }
@@ -76,19 +77,19 @@
 		// Before Start is done the members are not known, and all processes of a
 		// restart would take themselves for watchers.
 		if !follower.holds(r.Cache.Revision() > 0 && followsQuarantine(self, members)) {
-			sleep(ctx, watchRecheck)
+			wait.For(ctx, watchRecheck)
 			continue
 		}
 		newer, err := r.Quarantine.Follow(ctx)
 		if err != nil {
-			sleep(ctx, jitter(watchRetry))
+			wait.For(ctx, jitter(watchRetry))
 			continue
 		}
 		if newer {
 			r.Announce(ctx)
 		}
 		if !others(self.Name, members) {
-			sleep(ctx, jitter(alonePause))
+			wait.For(ctx, jitter(alonePause))
 		}
 	}
 }
