--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,6 +5,9 @@
 	"errors"
 	"flag"
 	"net"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -117,6 +120,17 @@
 	<-a.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout())
 	defer cancel()
+	second := make(chan os.Signal, 1)
+	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(second)
+	go func() {
+		select {
+		case <-second:
+			p.Logger.Error("second signal; requests in progress are cut off")
+			cancel()
+		case <-stopCtx.Done():
+		}
+	}()
 	if err := a.Stop(stopCtx); err != nil {
 		p.Logger.Error("shutdown failed", "err", err)
 		return subcommands.ExitFailure
