--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -171,7 +171,8 @@
 				const n = 60
 				for i := range n {
 					id, tokens := fmt.Sprint("r", i), 100+rng.IntN(3500)
-					go func() { done <- p.request(id, tokens, time.Duration(rng.IntN(4)-1)*2*time.Second) }()
+					leave := time.Duration(rng.IntN(4)-1) * 2 * time.Second
+					go func() { done <- p.request(id, tokens, leave) }()
 					time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
 					if i%10 == 9 {
 						p.fault(rng)
