--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -101,13 +101,15 @@
 // DefaultPolicy applies until a ticket sets the policy "default".
 func DefaultPolicy() Policy {
 	return Policy{
-		Name:         "default",
-		Anticipation: 0.5,
+		Name: "default",
+		// Anticipated grants cost goodput and waste in the bench, see docs/POLICY.md.
+		Anticipation: 0,
 		TTFTTarget:   time.Second,
 		TPOTTarget:   46 * time.Millisecond,
-		QueueLimit:   20 * time.Second,
-		MaxYield:     10 * time.Second,
-		Hedge:        true,
-		RetryBudget:  0.2,
+		// Late service is no goodput; refusing early gives it to those in time.
+		QueueLimit:  2 * time.Second,
+		MaxYield:    10 * time.Second,
+		Hedge:       true,
+		RetryBudget: 0.2,
 	}
 }
--- a/internal/entry/estimate.go
+++ b/internal/entry/estimate.go
@@ -109,6 +109,21 @@
 	p.index.Prefilled(upstream, hashes)
 }
 
+// correct drops what the upstream turned out not to hold of a prompt.
+func (p *prefixCache) correct(upstream string, hashes []uint64, cachedTokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	believed := p.index.Cached(upstream, hashes)
+	if cachedTokens >= believed {
+		return
+	}
+	var events []choose.Event
+	for _, h := range hashes[cachedTokens/choose.BlockTokens : believed/choose.BlockTokens] {
+		events = append(events, choose.Event{Op: choose.Evicted, Prefix: h})
+	}
+	p.index.Apply(upstream, events, false)
+}
+
 func (p *prefixCache) forget(upstream string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -44,6 +44,8 @@
 func (r *runner) prefillFrame(c *prefillConn, m *wire.PrefillReply) error {
 	r.entry.noteLoad(c.target, m.Load)
 	switch b := m.Body.(type) {
+	case *wire.PrefillReply_Queued:
+		return r.prefillQueued(c, time.Duration(b.Queued.WaitMs)*time.Millisecond)
 	case *wire.PrefillReply_Started:
 		r.prefillBegan = time.Now()
 	case *wire.PrefillReply_Ready:
@@ -90,8 +92,35 @@
 	return r.beginPrefill()
 }
 
+const (
+	// maxPrefillMoves bounds how often a queued prefill moves.
+	maxPrefillMoves = 3
+	// prefillMoveMargin is how much sooner another upstream must be.
+	prefillMoveMargin = 30 * time.Millisecond
+)
+
+// prefillQueued moves a prefill that waits longer than another upstream
+// promises: what an entry believes of caches and queues can be out of date.
+func (r *runner) prefillQueued(c *prefillConn, wait time.Duration) error {
+	if c != r.prefill || r.req.Suspect || r.prefillMoves >= maxPrefillMoves {
+		return nil
+	}
+	avoid := r.prefillAvoid()
+	avoid[c.target.upstream] = true
+	_, other, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target.member.FailureDomain, avoid)
+	own := wait + r.entry.prefillRate.estimate(r.req.PrefillTokens()-r.entry.cache.cached(c.target.upstream, r.req.prefixHashes()))
+	if !ok || other+prefillMoveMargin >= own {
+		return nil
+	}
+	r.prefillMoves++
+	r.record("prefill-moved", c.target.upstream, wait.String())
+	c.close(cancelPrefill("another upstream is sooner"))
+	return r.beginPrefill()
+}
+
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
 	r.ready = ready
+	r.entry.cache.correct(c.target.upstream, r.req.prefixHashes(), int(ready.CachedTokens))
 	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
 	computed := ready.Tokens - min(ready.Tokens, ready.CachedTokens)
 	r.entry.usage.add(r.req.Caller.Name, r.req.Model.PrefillPool, c.target.upstream, float64(computed))
@@ -121,6 +150,31 @@
 	return nil
 }
 
+// maxImports bounds the imports under one reservation.
+const maxImports = 3
+
+// importAgain continues after a failed import: the sidecar keeps the
+// reservation, so the held output is transferred again, or computed again when
+// it is gone. It reports whether it took the failure over.
+func (r *runner) importAgain(c *decodeConn, kind wire.FailureKind) (bool, error) {
+	if kind != wire.FailureKind_FAILURE_TRANSFER && kind != wire.FailureKind_FAILURE_EVICTED {
+		return false, nil
+	}
+	if kind == wire.FailureKind_FAILURE_EVICTED {
+		r.releasePrefill("evicted")
+	}
+	if r.imports++; r.imports >= maxImports {
+		return false, nil
+	}
+	r.record("import-failed", c.target.upstream, kind.String())
+	if r.ready != nil {
+		return true, r.start()
+	}
+	r.releasePrefill("lost")
+	r.starting = false
+	return true, r.beginPrefill()
+}
+
 func (r *runner) releasePrefill(reason string) {
 	r.prefill.close(cancelPrefill(reason))
 	r.prefill, r.ready = nil, nil
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -70,6 +70,8 @@
 	ready        *wire.Ready // the output that the prefill stream holds
 	prefillTried map[string]bool
 	prefillBegan time.Time
+	prefillMoves int
+	imports      int // failed imports of this attempt
 	starting     bool
 	prefillTime  time.Duration    // estimate from the grant until the import can begin
 	tick         <-chan time.Time // time to ask further sidecars; nil when there are none
@@ -132,6 +134,7 @@
 	r.prefillTried = make(map[string]bool)
 	r.refusals = nil
 	r.starting = false
+	r.imports = 0
 	defer r.closeReservations("attempt ended")
 	r.candidates = r.entry.decodeCandidates(r.snap, r.req, r.avoid)
 	if len(r.candidates) == 0 && len(r.avoid) > 0 {
@@ -223,8 +226,8 @@
 	if c != r.decode {
 		return r.decodeEnded(c, errors.New(f.Detail))
 	}
-	if f.Kind == wire.FailureKind_FAILURE_EVICTED {
-		r.releasePrefill("evicted")
+	if again, err := r.importAgain(c, f.Kind); again {
+		return err
 	}
 	if f.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
 		return r.crashed(c.target.upstream)
--- a/internal/sidecar/claim.go
+++ b/internal/sidecar/claim.go
@@ -29,6 +29,8 @@
 	suspect     bool
 	cost        float64 // estimated, in cost tokens
 	item        *fairqueue.Item
+	// overdue is how long the claim may wait for its turn; 0 sets no limit.
+	overdue time.Duration
 
 	granted chan grant   // receives at most one
 	refused chan refusal // receives at most one
@@ -237,6 +239,12 @@
 	report(told)
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
+	var overdue <-chan time.Time
+	if c.overdue > 0 {
+		timer := time.NewTimer(c.overdue)
+		defer timer.Stop()
+		overdue = timer.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -245,6 +253,10 @@
 			return &g, nil
 		case r := <-c.refused:
 			return nil, &r
+		case <-overdue:
+			// Its estimate was wrong. Whoever waits beyond the limit would take
+			// the place of those that can still meet their target.
+			return nil, overloaded(estimate())
 		case <-tick.C:
 			if now := estimate(); (now - told).Abs() >= max(reportChange, told/10) {
 				told = now
