--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -1,4 +1,3 @@
-// Package cli holds the subcommands of the binary.
 package cli
 
 import (
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 		&Dump{},
 		&Explain{},
 		&Fairness{},
+		&Bench{},
 		&version.Command{},
 	}
 }
