--- a/internal/demo/bookings_test.go
+++ b/internal/demo/bookings_test.go
@@ -76,6 +76,7 @@
 // is called not-run after it ran, when something fails at one of its steps,
 // alone, together with something else or twice in a row.
 func TestFaultsAtEachStepOfABooking(t *testing.T) {
+	t.Parallel()
 	for _, f := range bookingFaults {
 		for _, s := range bookingSteps {
 			t.Run(f.name+"/"+s.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/demo/clock_test.go
@@ -0,0 +1,43 @@
+package demo
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wallClockLabels are the files that may read the wall clock, with the label
+// for which they do.
+var wallClockLabels = map[string]string{
+	"app/server.go":         "time of an event in the explain command",
+	"cli/ticket_list.go":    "time of acceptance in the list of tickets",
+	"cli/serve.go":          "incarnation of a process; see docs/PROMISES.md, not covered",
+	"entry/answer.go":       "field created of an answer",
+	"configstore/accept.go": "time of acceptance in a ticket's record",
+}
+
+var wallClockRead = regexp.MustCompile(`\.(Unix|UnixMilli|UnixMicro|UnixNano|Weekday|YearDay|Hour)\(\)|time\.(Date|Unix)\(`)
+
+// Guards against a decision that depends on the clock of a process: clocks step
+// and differ, so only monotonic durations may decide.
+func TestWallClockIsReadForLabelsOnly(t *testing.T) {
+	root := ".."
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		name := strings.TrimPrefix(filepath.ToSlash(path), root+"/")
+		if err != nil || d.IsDir() || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") ||
+			strings.HasPrefix(name, "standin/") || strings.HasSuffix(name, ".pb.go") || strings.HasSuffix(name, ".twirp.go") {
+			return err
+		}
+		raw, err := os.ReadFile(path)
+		if err == nil && wallClockRead.Match(raw) && wallClockLabels[name] == "" {
+			t.Errorf("%s reads the wall clock: %s", name, wallClockRead.Find(raw))
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/demo/poison_test.go
+++ b/internal/demo/poison_test.go
@@ -21,6 +21,7 @@
 // Guards against a request that crashes engines doing so more than twice, and
 // against innocent requests that share those engines staying without an answer.
 func TestPoisonRequest(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name   string
 		copies int
--- a/internal/demo/steps_test.go
+++ b/internal/demo/steps_test.go
@@ -63,6 +63,7 @@
 // model request, once and twice in a row, that loses, garbles or repeats the
 // answer, keeps engine memory, or runs what was refused.
 func TestFaultsAtEachStepOfAModelRequest(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"crash", "silence", "pause", "down"} {
 		for _, v := range victims {
 			for _, s := range steps {
@@ -110,6 +111,7 @@
 // Guards against engine memory that stays held when a caller leaves at any
 // moment, alone or while the request's upstream fails.
 func TestCallerLeavesAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []string{"", "slow", "stall_transfer", "silence", "crash"} {
 		for _, s := range steps {
 			t.Run(fault+"/"+s.name, func(t *testing.T) {
