--- a/internal/entry/handlers.go
+++ b/internal/entry/handlers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
@@ -41,14 +42,12 @@
 
 // readBody reads the whole body within the limits of size and time.
 func (e *Entry) readBody(c *gin.Context) ([]byte, error) {
-	rc := http.NewResponseController(c.Writer)
-	if err := rc.SetReadDeadline(time.Now().Add(e.limits.BodyTimeout)); err == nil {
-		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, e.limits.MaxBodyBytes))
 	if err == nil {
+		clearBodyDeadline(c)
 		return body, nil
 	}
+	c.Header("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.KindBodyTooLarge, "send a smaller body", "the body is larger than %d bytes", tooLarge.Limit)
@@ -101,13 +100,13 @@
 	case err == nil:
 		account.finished.Add(1)
 		e.observeLength(req)
-		e.log.Info("request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
+		e.limited.Log(log.InfoLevel, "finished", "request finished", "request", req.ID, "caller", req.Caller.Name, "attempts", req.Attempt(),
 			"prompt_tokens", req.PromptTokens, "output_tokens", req.Delivered(), "revision", snap.Revision,
 			"duration", time.Since(req.Accepted))
 	case c.Request.Context().Err() != nil:
 		account.cancelled.Add(1)
 		r.record("cancelled", "", "the caller left")
-		e.log.Info("caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
+		e.limited.Log(log.InfoLevel, "caller left", "caller left", "request", req.ID, "caller", req.Caller.Name, "output_tokens", req.Delivered())
 	default:
 		e.reportFailure(c, r, account, err)
 	}
@@ -122,7 +121,7 @@
 	}
 	r.record("failed", "", string(f.Kind))
 	e.metrics.refused(c.Request.Context(), f.Kind)
-	e.log.Warn("request not answered", "request", r.req.ID, "caller", r.req.Caller.Name, "attempts", r.req.Attempt(),
+	e.limited.Log(log.WarnLevel, "failed/"+string(f.Kind), "request not answered", "request", r.req.ID, "caller", r.req.Caller.Name, "attempts", r.req.Attempt(),
 		"kind", f.Kind, "outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
 	r.out.Fail(f)
 }
@@ -178,5 +177,7 @@
 		e.refuse(c, fault.New(fault.KindUnknownRoute, "check the path", "no route matches %s", c.Request.URL.Path))
 		return
 	}
+	// Package plain streams bodies and has limits of its own.
+	clearBodyDeadline(c)
 	e.plain.ServeCall(c.Writer, c.Request, callerOf(c), c.GetString(keyRequestID))
 }
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -16,16 +18,23 @@
 	at   time.Time
 }
 
-// upstreamHints is the newest hint of one upstream and the number of requests
-// that this entry sent there since.
+// upstreamHints is the newest hint of one upstream and what this entry
+// sent there since.
 type upstreamHints struct {
 	newest atomic.Pointer[hint]
 	sent   atomic.Int64
+	// sentWork is the time that the requests sent since will take.
+	sentWork atomic.Int64
 }
 
+// hintFraming is the tag and the length of a hint within its frame.
+const hintFraming = 2
+
 // hintTable keeps the newest hint of each upstream. Reading takes no lock.
 type hintTable struct {
 	byUpstream sync.Map // string → *upstreamHints
+	count      atomic.Int64
+	bytes      atomic.Int64
 }
 
 func (t *hintTable) of(upstream string) *upstreamHints {
@@ -40,12 +49,31 @@
 	if l == nil || l.Upstream == "" {
 		return
 	}
+	t.count.Add(1)
+	t.bytes.Add(int64(proto.Size(l)) + hintFraming)
 	u := t.of(l.Upstream)
 	u.newest.Store(&hint{load: l, at: time.Now()})
 	u.sent.Store(0)
+	u.sentWork.Store(0)
+}
+
+// noteSent counts a request that was just sent, and the time it will take.
+func (t *hintTable) noteSent(upstream string, work time.Duration) {
+	u := t.of(upstream)
+	u.sent.Add(1)
+	u.sentWork.Add(int64(work))
 }
 
-func (t *hintTable) noteSent(upstream string) { t.of(upstream).sent.Add(1) }
+// wait estimates the wait at an upstream: the hinted one and the work sent
+// since, less the time that has passed.
+func (t *hintTable) wait(upstream string) time.Duration {
+	h, ok := t.get(upstream)
+	if !ok {
+		return 0
+	}
+	hinted := time.Duration(h.load.WaitMs) * time.Millisecond
+	return max(0, hinted+time.Duration(t.of(upstream).sentWork.Load())-time.Since(h.at))
+}
 
 func (t *hintTable) sentSince(upstream string) int { return int(t.of(upstream).sent.Load()) }
 
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 
@@ -22,7 +23,7 @@
 
 // refuse ends a call before any work was done for it.
 func (e *Entry) refuse(c *gin.Context, f *fault.Error) {
-	e.log.Info("refused request", "request", c.GetString(keyRequestID), "kind", f.Kind,
+	e.limited.Log(log.InfoLevel, "refused/"+string(f.Kind), "refused request", "request", c.GetString(keyRequestID), "kind", f.Kind,
 		"outcome", f.Outcome, "reason", f.Message, "cause", f.Cause)
 	e.metrics.refused(c.Request.Context(), f.Kind)
 	f.Write(c.Writer)
@@ -53,6 +54,22 @@
 	id := uuid.NewString()
 	c.Set(keyRequestID, id)
 	c.Header(RequestIDHeader, id)
+	e.limitBodyTime(c)
+}
+
+// limitBodyTime sets the deadline by which the body must have arrived. It stays
+// in force when a request is refused, because the server reads what is left of
+// the body before it sends the refusal.
+func (e *Entry) limitBodyTime(c *gin.Context) {
+	if c.Request.ContentLength == 0 {
+		return
+	}
+	// A ResponseWriter without deadlines belongs to a test without a network.
+	_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now().Add(e.limits.BodyTimeout))
+}
+
+func clearBodyDeadline(c *gin.Context) {
+	_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Time{})
 }
 
 func (e *Entry) checkHeaders(c *gin.Context) {
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -15,7 +15,7 @@
 	if len(r.prefillTried) >= maxPrefillsPerAttempt {
 		return r.noPrefill("too many prefill upstreams failed")
 	}
-	t, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target, r.prefillAvoid())
+	t, took, ok := r.entry.prefillCandidate(r.snap, r.req, r.decode.target.member.FailureDomain, r.prefillAvoid())
 	if !ok {
 		return r.noPrefill("no prefill upstream is available")
 	}
@@ -23,7 +23,7 @@
 	r.prefillTried[t.upstream] = true
 	r.prefillBegan = time.Now()
 	r.prefill = r.openPrefill(t)
-	r.entry.hints.noteSent(t.upstream)
+	r.entry.hints.noteSent(t.upstream, took-r.entry.hints.wait(t.upstream))
 	r.record("prefill", t.upstream, "")
 	return nil
 }
@@ -42,7 +42,7 @@
 }
 
 func (r *runner) prefillFrame(c *prefillConn, m *wire.PrefillReply) error {
-	r.entry.hints.note(m.Load)
+	r.entry.noteLoad(c.target, m.Load)
 	switch b := m.Body.(type) {
 	case *wire.PrefillReply_Started:
 		r.prefillBegan = time.Now()
@@ -92,8 +92,10 @@
 
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
 	r.ready = ready
-	r.entry.prefillRate.observe(ready.Tokens-min(ready.Tokens, ready.CachedTokens), time.Since(r.prefillBegan))
 	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
+	computed := ready.Tokens - min(ready.Tokens, ready.CachedTokens)
+	r.entry.usage.add(r.req.Caller.Name, r.req.Model.PrefillPool, c.target.upstream, float64(computed))
+	r.entry.prefillRate.observe(computed, time.Since(r.prefillBegan))
 	r.record("prefilled", c.target.upstream, "")
 	if r.decode == nil {
 		return nil
@@ -139,6 +141,8 @@
 		WaitedMs:       milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:    r.req.Fingerprint[:],
 		Suspect:        r.req.Suspect,
+		CallerUsage:    r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.PrefillPool, t.upstream),
+		Source:         r.entry.instance,
 		ConfigRevision: r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.PrefillRequest, *wire.PrefillReply]{
@@ -149,6 +153,7 @@
 		renew:   renewPrefill,
 		newR:    func() *wire.PrefillReply { return new(wire.PrefillReply) },
 		deliver: func(m *wire.PrefillReply, err error) { r.inbox.put(event{prefillConn: c, prefillReply: m, err: err}) },
+		report:  r.entry.reporter(t),
 	}, c)
 	return c
 }
@@ -166,11 +171,13 @@
 		PromptTokens:    uint64(r.req.PrefillTokens()),
 		PredictedTokens: r.entry.predict(r.req),
 		MaxTokens:       remaining,
-		PrefillMs:       milliseconds(r.entry.prefillRate.estimate(r.req.PrefillTokens())),
+		PrefillMs:       milliseconds(r.prefillTime),
 		TtftBudgetMs:    milliseconds(r.req.TTFTBudget(now)),
 		WaitedMs:        milliseconds(now.Sub(r.req.Accepted)),
 		Fingerprint:     r.req.Fingerprint[:],
 		Suspect:         r.req.Suspect,
+		CallerUsage:     r.entry.usage.elsewhere(r.req.Caller.Name, r.req.Model.DecodePool, t.upstream),
+		Source:          r.entry.instance,
 		ConfigRevision:  r.snap.Revision,
 	}}}
 	openConn(r.ctx, t, streamCall[*wire.DecodeRequest, *wire.DecodeReply]{
@@ -181,6 +188,7 @@
 		renew:   renewDecode,
 		newR:    func() *wire.DecodeReply { return new(wire.DecodeReply) },
 		deliver: func(m *wire.DecodeReply, err error) { r.inbox.put(event{decodeConn: c, decodeReply: m, err: err}) },
+		report:  r.entry.reporter(t),
 	}, c)
 	return c
 }
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -61,7 +61,7 @@
 		open++
 	}
 	for open > 0 {
-		ev, err := r.inbox.next(ctx)
+		ev, err := r.inbox.next(ctx, nil)
 		if err != nil {
 			break
 		}
--- a/internal/policy/choose/choose.go
+++ b/internal/policy/choose/choose.go
@@ -95,8 +95,7 @@
 	if f <= 0 {
 		f = DefaultAffinity
 	}
-	leading := min(len(p.Hashes), affinityBlocks) * BlockTokens
-	return time.Duration(f * float64(seconds(float64(leading)/p.Rate)))
+	return time.Duration(f * float64(p.work(0)))
 }
 
 func affinityKey(hashes []uint64) uint64 {
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -18,8 +18,9 @@
 	initialStep = 25 * time.Millisecond
 	stepWeight  = 0.05
 	// growLead is how long before a stream outgrows its chunks the next one is
-	// taken: time to cancel a victim and to confirm it.
-	growLead    = 300 * time.Millisecond
+	// taken: time to cancel a victim and to confirm it. A longer lead would pause
+	// streams for others that end before they need the memory.
+	growLead    = 100 * time.Millisecond
 	minGrowLead = 4 // tokens
 )
 
@@ -30,6 +31,7 @@
 	prompt    int // tokens, those of delivered output included
 	predicted int // further output tokens expected
 	produced  int // output tokens produced here
+	limit     int // most output tokens to produce here; 0 for none
 	ran       bool
 	ready     chan struct{} // closed when the engine may be used after Start
 	// paused ends when the stream must give up its memory.
@@ -110,21 +112,18 @@
 func (d *desk) grantDecodes() {
 	q := &d.decode
 	anticipation := d.config.Snapshot().Policy.Anticipation
-	for {
+	for q.queue.Len() > 0 {
 		now := d.now()
+		free := newForecasts(q.res, now, q.step)
 		it := q.queue.Pop(now, func(it *fairqueue.Item) bool {
 			c := it.Value.(*decodeClaim)
-			if !d.suspects.MayRun(c.suspect) {
-				return false
-			}
-			_, ok := q.res.Forecast(now, c.res, q.step, anticipation)
-			return ok
+			return d.suspects.MayRun(c.suspect) && free.fits(c.res, anticipation)
 		})
 		if it == nil {
 			return
 		}
 		c := it.Value.(*decodeClaim)
-		freeIn, _ := q.res.Forecast(now, c.res, q.step, anticipation)
+		freeIn := free.in(c.res.Chunks)
 		if q.res.Grant(now, c.res) {
 			freeIn = 0
 		}
@@ -138,8 +137,9 @@
 func (d *desk) start(c *decodeClaim, resume, maxTokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if left := maxTokens - resume; maxTokens > 0 && left < c.predicted {
-		c.predicted = max(1, left)
+	if maxTokens > 0 {
+		c.limit = max(1, maxTokens-resume)
+		c.predicted = min(c.predicted, c.limit)
 	}
 	if d.decode.res.Start(d.now(), c.res, c.prompt, c.predicted) {
 		c.markReady()
@@ -168,6 +168,16 @@
 	return c.res.Chunks * d.decode.res.Shape().ChunkTokens
 }
 
+// kvBytes returns the size of the transfer, estimated when it is not told.
+func (d *desk) kvBytes(c *decodeClaim, start *wire.Start) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n := start.GetKvBytes(); n > 0 {
+		return int64(n)
+	}
+	return int64(c.prompt) * d.info.KVBytesPerToken
+}
+
 // settle records what the engine holds after an import.
 func (d *desk) settle(c *decodeClaim, heldTokens int) {
 	d.mu.Lock()
@@ -185,6 +195,9 @@
 	}
 	c.produced = produced
 	ahead := max(minGrowLead, int(growLead/max(time.Millisecond, q.step)))
+	if c.limit > 0 {
+		ahead = max(0, min(ahead, c.limit-produced))
+	}
 	victim := q.res.Advance(d.now(), c.res, c.prompt+produced, ahead)
 	if v := q.claims[victim]; victim != nil && v != nil {
 		v.pause()
@@ -224,7 +237,7 @@
 
 // decodeWait estimates how long a queued claim waits.
 func (d *desk) decodeWait(c *decodeClaim) time.Duration {
-	freeIn, _ := d.decode.res.Forecast(d.now(), c.res, d.decode.step, 1)
+	freeIn := newForecasts(d.decode.res, d.now(), d.decode.step).in(c.res.Chunks)
 	return max(0, freeIn) + queueWait(d.decode.queue, c.item, d.decodeRate())
 }
 
--- a/internal/sidecar/output.go
+++ b/internal/sidecar/output.go
@@ -111,7 +111,9 @@
 	if len(b.text) == 0 {
 		return
 	}
-	x.send(&wire.DecodeReply{Body: &wire.DecodeReply_Tokens{Tokens: &wire.Tokens{
+	// Without load hints: they would make up three quarters of the frame, and
+	// the heartbeat of the stream brings them twice a second.
+	_ = x.stream.Send(&wire.DecodeReply{Body: &wire.DecodeReply_Tokens{Tokens: &wire.Tokens{
 		Attempt: x.c.attempt,
 		Index:   uint64(b.index),
 		Text:    b.text,
--- a/internal/sidecar/reservation.go
+++ b/internal/sidecar/reservation.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/fescueslip/fescueslip/internal/policy/reserve"
 )
 
 // startMargin is added to the announced prefill time before a slot that is
@@ -45,6 +43,7 @@
 	state    reservationState
 	wantsRun bool // Start arrived while the reservation was anticipated
 	wants    int  // chunks to add as soon as some are free
+	pausing  bool // chosen to free its memory
 	seq      uint64
 	granted  time.Duration
 	firmAt   time.Duration
@@ -114,36 +113,6 @@
 	return slots-promisedSlots >= 1 && free-promisedChunks >= chunks
 }
 
-// Forecast returns when a place for x is expected to be free, after all that was
-// granted before, and whether x may be granted now.
-func (r *Reservations) Forecast(now time.Duration, x *Reservation, step time.Duration, anticipation float64) (freeIn time.Duration, ok bool) {
-	promisedSlots, promisedChunks := r.Promised()
-	slots, chunks := r.Free()
-	need := reserve.Need{
-		Chunks:     x.Chunks,
-		FreeChunks: chunks - promisedChunks,
-		FreeSlots:  slots - promisedSlots,
-		Prefill:    x.PrefillTime,
-	}
-	return reserve.Forecast(r.streams(), now, step, need, anticipation)
-}
-
-// streams lists what was granted, for the forecast.
-func (r *Reservations) streams() []reserve.Stream {
-	out := make([]reserve.Stream, 0, len(r.list))
-	for _, x := range r.list {
-		if x.state == foreign {
-			continue
-		}
-		s := reserve.Stream{RemainingTokens: float64(x.Predicted), Chunks: x.Chunks}
-		if x.state != started {
-			s.StartsAt = x.granted + x.PrefillTime
-		}
-		out = append(out, s)
-	}
-	return out
-}
-
 // Grant adds a reservation. It is firm when it fits now and anticipated
 // otherwise; the caller decides whether to anticipate.
 func (r *Reservations) Grant(now time.Duration, x *Reservation) (isFirm bool) {
@@ -213,7 +182,7 @@
 func (r *Reservations) Advance(now time.Duration, x *Reservation, tokens, ahead int) (victim *Reservation) {
 	x.Predicted -= tokens - x.Tokens
 	x.Tokens = tokens
-	if r.Need(tokens+ahead) <= x.Chunks+x.wants {
+	if x.pausing || r.Need(tokens+ahead) <= x.Chunks+x.wants {
 		return nil
 	}
 	r.enlarge(x, 1)
@@ -238,15 +207,26 @@
 }
 
 // pause chooses the most recently granted stream of the caller furthest over
-// its share, but never the only stream.
+// its share, but never the only stream, and nobody while those that are being
+// paused free enough for all that grow.
 func (r *Reservations) pause() *Reservation {
-	if r.count(started) < 2 {
-		return nil
+	wanted, coming, left := 0, 0, 0
+	for _, x := range r.list {
+		wanted += x.wants
+		switch {
+		case x.pausing:
+			coming += x.Chunks
+		case x.state == started:
+			left++
+		}
 	}
-	y := r.furthestOver(func(y *Reservation) bool { return y.state == started })
-	if y != nil {
-		r.Preemptions++
+	if coming >= wanted || left < 2 {
+		return nil
 	}
+	y := r.furthestOver(func(y *Reservation) bool { return y.state == started && !y.pausing })
+	y.pausing = true
+	y.wants = 0
+	r.Preemptions++
 	return y
 }
 
