Leave a stalled link after two failed transfers

A request whose prefill upstream's link stayed stalled used up its 8 attempts on it and failed after 9.8 s, although other upstreams could serve it.

--- a/internal/demo/steps_test.go
+++ b/internal/demo/steps_test.go
@@ -138,3 +138,23 @@
 		}
 	}
 }
+
+// Guards against a request that uses up its attempts on a link that stays
+// stalled although other upstreams could serve it.
+func TestTransferStalledForGood(t *testing.T) {
+	t.Parallel()
+	for _, side := range []step{steps[0], steps[1]} {
+		t.Run(side.name+" side", func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, nil, func(ctx context.Context, b *bench) {
+				done := make(chan modelResult, 1)
+				begun := time.Now()
+				go func() { done <- b.call(ctx, 0, b.long("stalled", 1500, 40), 40, 0) }()
+				name := b.await(side, begun, 20*time.Second)
+				b.fault("link-"+name, "stall_transfer", time.Minute)
+				m := <-done
+				t.Logf("answered %t after %s", m.done, m.total)
+			})
+		})
+	}
+}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -106,6 +106,7 @@
 // start tells the decode sidecar to import the held output and to decode.
 func (r *runner) start() error {
 	r.starting = true
+	r.source = r.prefill.target.upstream
 	err := r.decode.send(&wire.DecodeRequest{Body: &wire.DecodeRequest_Start{Start: &wire.Start{
 		SourceUrl:    r.ready.SourceUrl,
 		Handle:       r.ready.Handle,
@@ -121,6 +122,17 @@
 	return nil
 }
 
+// changeSource follows a failed transfer. Either end's link may be stalled, so
+// the next attempt uses another decode upstream and, once a second transfer from
+// the same output has failed, another prefill upstream.
+func (r *runner) changeSource() {
+	if r.stalled[r.source] {
+		r.avoid[r.source] = true
+		r.releasePrefill("transfer failed twice")
+	}
+	r.stalled[r.source] = true
+}
+
 func (r *runner) releasePrefill(reason string) {
 	r.prefill.close(cancelPrefill(reason))
 	r.prefill, r.ready = nil, nil
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -70,6 +70,8 @@
 	prefillTried map[string]bool
 	prefillBegan time.Time
 	starting     bool
+	source       string           // prefill upstream of the last transfer
+	stalled      map[string]bool  // sources of which a transfer failed
 	prefillTime  time.Duration    // estimate from the grant until the import can begin
 	tick         <-chan time.Time // time to ask further sidecars; nil when there are none
 
@@ -80,13 +82,14 @@
 
 func (e *Entry) newRunner(ctx context.Context, req *Request, out *answer, snap *config.Snapshot) *runner {
 	return &runner{
-		entry: e,
-		req:   req,
-		out:   out,
-		snap:  snap,
-		ctx:   ctx,
-		inbox: newInbox(),
-		avoid: make(map[string]bool),
+		entry:   e,
+		req:     req,
+		out:     out,
+		snap:    snap,
+		ctx:     ctx,
+		inbox:   newInbox(),
+		avoid:   make(map[string]bool),
+		stalled: make(map[string]bool),
 	}
 }
 
@@ -375,9 +378,12 @@
 // planRetry decides whether another attempt follows a failed one.
 func (r *runner) planRetry(f *attemptError) error {
 	waits := f.kind == wire.FailureKind_FAILURE_PREEMPTED
-	if f.upstream != "" && !waits && f.kind != wire.FailureKind_FAILURE_TRANSFER {
+	if f.upstream != "" && !waits {
 		r.avoid[f.upstream] = true
 	}
+	if f.kind == wire.FailureKind_FAILURE_TRANSFER {
+		r.changeSource()
+	}
 	if r.req.Delivered() > 0 {
 		// The held output covers the prompt only; what was delivered has to be
 		// computed again with it.
