--- a/internal/demo/steps_test.go
+++ b/internal/demo/steps_test.go
@@ -63,6 +63,7 @@
 // model request, once and twice in a row, that loses, garbles or repeats the
 // answer, keeps engine memory, or runs what was refused.
 func TestFaultsAtEachStepOfAModelRequest(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{"crash", "silence", "pause", "down"} {
 		for _, v := range victims {
 			for _, s := range steps {
@@ -110,6 +111,7 @@
 // Guards against engine memory that stays held when a caller leaves at any
 // moment, alone or while the request's upstream fails.
 func TestCallerLeavesAtEachStep(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []string{"", "slow", "stall_transfer", "silence", "crash"} {
 		for _, s := range steps {
 			t.Run(fault+"/"+s.name, func(t *testing.T) {
@@ -136,3 +138,23 @@
 		}
 	}
 }
+
+// Guards against a request that uses up its attempts on a link that stays
+// stalled although other upstreams could serve it.
+func TestTransferStalledForGood(t *testing.T) {
+	t.Parallel()
+	for _, side := range []step{steps[0], steps[1]} {
+		t.Run(side.name+" side", func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, nil, func(ctx context.Context, b *bench) {
+				done := make(chan modelResult, 1)
+				begun := time.Now()
+				go func() { done <- b.call(ctx, 0, b.long("stalled", 1500, 40), 40, 0) }()
+				name := b.await(side, begun, 20*time.Second)
+				b.fault("link-"+name, "stall_transfer", time.Minute)
+				m := <-done
+				t.Logf("answered %t after %s", m.done, m.total)
+			})
+		})
+	}
+}
