--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -151,6 +151,11 @@
 			x.MergeSelf(member("a", 2, Serving))
 			x.Report("a", 1, Suspect)
 		}, Serving},
+		{"the leaving of an old incarnation does not concern the newer one", func(x *Table) {
+			x.MergeSelf(member("a", 2, Serving))
+			x.MergeRelayed([]Member{member("a", 1, Leaving)})
+			x.ApplyList([]platform.Instance{instance("a", 1, true), serving[1], serving[2]})
+		}, Serving},
 		{"a stuck list does not revive a leaving member", func(x *Table) {
 			x.Report("a", 1, Leaving)
 			x.ApplyList(serving)
