Keep the queue limit of sidecar tests at 20 s; test the overdue refusal

The tests of order and memory let 12 requests wait for 8 slots and relied on the default of 20 s, which is 2 s now; the limit is set where it is needed, so what they check is unchanged. The new test was red without the overdue timer.

--- a/internal/sidecar/harness_test.go
+++ b/internal/sidecar/harness_test.go
@@ -32,11 +32,16 @@
 	stop   func()
 }
 
+// patientQueueLimit lets requests wait in tests of order, memory and faults;
+// tests of refusals set a limit of their own.
+const patientQueueLimit = 20 * time.Second
+
 // inRig runs a test in virtual time, with everything stopped at its end.
 func inRig(t *testing.T, f *fakeEngine, test func(r *rig), policies ...func(*config.Policy)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := config.DefaultPolicy()
+		p.QueueLimit = patientQueueLimit
 		for _, set := range policies {
 			set(&p)
 		}
--- /dev/null
+++ b/internal/sidecar/overdue_test.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/wire"
+)
+
+// Guards against a first attempt that waits beyond the queue limit because its
+// estimate was wrong, and against refusing a request that continues and is owed
+// its answer.
+func TestOverdueFirstAttemptIsRefused(t *testing.T) {
+	const limit = 3 * time.Second
+	f := newFakeEngine(engine.RoleDecode)
+	inRig(t, f, func(r *rig) {
+		for i := range f.info.Slots {
+			d := r.decode(reserveFrame(string(rune('a'+i)), "holder"))
+			defer d.Close()
+			if d.until(isGranted) == nil {
+				t.Fatal("a free slot was not granted")
+			}
+			go d.until(isLast)
+		}
+		first := reserveFrame("first", "x")
+		again := reserveFrame("again", "x")
+		again.Attempt = firstAttempt + 1
+		refused, waiting := r.decode(first), r.decode(again)
+		defer refused.Close()
+		defer waiting.Close()
+		m := refused.until(isLast)
+		if m.GetRefused().GetKind() != wire.RefusalKind_REFUSAL_OVERLOADED {
+			t.Errorf("got %v, want a refusal", m)
+		}
+		ended := make(chan *wire.DecodeReply, 1)
+		go func() { ended <- waiting.until(isLast) }()
+		select {
+		case m := <-ended:
+			t.Errorf("a request that continues got %v", m)
+		case <-time.After(2 * limit):
+		}
+	}, func(p *config.Policy) { p.QueueLimit = limit })
+}
--- a/internal/sidecar/standin_test.go
+++ b/internal/sidecar/standin_test.go
@@ -75,9 +75,11 @@
 	addr := "sidecar-" + string(role) + ":80"
 	url := "http://engine-" + string(role) + ":80"
 	hc := engine.NewHTTP(engine.HTTPOptions{BaseURL: url, Dial: p.net.Dial})
+	policy := config.DefaultPolicy()
+	policy.QueueLimit = patientQueueLimit
 	s := New(Options{
 		Upstream: string(role), Engine: hc, EngineURL: url, Logger: log.New(io.Discard),
-		Config: config.Static{Current: config.Build(1, config.Objects{})},
+		Config: config.Static{Current: config.Build(1, config.Objects{Policy: &policy})},
 	})
 	p.sides[role] = s
 	l, err := p.net.Listen(addr)
