Keep one prefill per request across attempts

A new attempt opened a second prefill while the first still ran. The first had no owner any more: its work was wasted, and its late output met a request without a prefill. Now the running prefill is used.

--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -12,6 +12,11 @@
 
 // beginPrefill asks the next prefill upstream under the granted reservation.
 func (r *runner) beginPrefill() error {
+	if r.prefill != nil {
+		// The prefill of the attempt before is still running; its output serves
+		// this one. A second one would leave the first without an owner.
+		return nil
+	}
 	if len(r.prefillTried) >= maxPrefillsPerAttempt {
 		return r.noPrefill("too many prefill upstreams failed")
 	}
@@ -91,6 +96,10 @@
 }
 
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
+	if c != r.prefill {
+		c.close(cancelPrefill("replaced"))
+		return nil
+	}
 	r.ready = ready
 	r.entry.cache.prefilled(c.target.upstream, r.req.prefixHashes())
 	computed := ready.Tokens - min(ready.Tokens, ready.CachedTokens)
