Export metrics of sidecars, plain calls and the ledger

Slots, memory, queues, refusals, transfers, retries and settlements were only in /debug/state, so no dashboard or alert could use them.

The instruments are observable and read the existing state when scraped; new counts exist only for grants, refusals by kind, import results, and plain calls, retries and hedges. Labels have fixed values, never a caller. Room of an engine is reported for its present role only, so that sums over roles count no engine twice.

A test checks each metric and each sum label of the dashboard against what the processes export; another checks counted values.

--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
@@ -39,7 +40,7 @@
 		newEntry,
 		entryParts,
 	),
-	fx.Invoke(observeHints, runQuarantine, runLedger, servePeers, serveCallers, drainOnStop),
+	fx.Invoke(observeEntry, runQuarantine, runLedger, servePeers, serveCallers, drainOnStop),
 )
 
 func entryLimits(s *settings.Settings) entry.Limits {
@@ -129,7 +130,9 @@
 	}
 }
 
-func observeHints(e *entry.Entry, m metric.Meter) error { return e.ObserveHints(m) }
+func observeEntry(e *entry.Entry, r *plain.Router, l *ledger.Ledger, m metric.Meter) error {
+	return errors.Join(e.ObserveHints(m), r.Observe(m), l.Observe(m))
+}
 
 func runQuarantine(lc fx.Lifecycle, k *quarantine.Keeper, b *background) {
 	lc.Append(fx.StartHook(func() { b.run("quarantine writer", k.RunWriter) }))
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -6,6 +6,7 @@
 	"net/url"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/config"
@@ -32,17 +33,18 @@
 	Holder     *config.Holder
 	KV         platform.KV
 	Events     *telemetry.FlightLog
+	Meter      metric.Meter
 	Logger     *log.Logger
 }
 
-func newSidecarParts(d sidecarDeps) roleParts {
+func newSidecarParts(d sidecarDeps) (roleParts, error) {
 	if d.Process.Settings.Upstream.Kind == settings.UpstreamService {
 		return newServiceSidecar(d)
 	}
 	return newModelSidecar(d)
 }
 
-func newServiceSidecar(d sidecarDeps) roleParts {
+func newServiceSidecar(d sidecarDeps) (roleParts, error) {
 	s := d.Process.Settings
 	sc := plain.NewSidecar(plain.SidecarOptions{
 		Upstream: s.Upstream.Name,
@@ -56,10 +58,10 @@
 		streams: map[string]http.Handler{"/plain/": sc.Handler()},
 		dump:    func() map[string]any { return map[string]any{"service": sc.State()} },
 		drain:   sc.Drain,
-	}
+	}, sc.Observe(d.Meter)
 }
 
-func newModelSidecar(d sidecarDeps) roleParts {
+func newModelSidecar(d sidecarDeps) (roleParts, error) {
 	s := d.Process.Settings
 	engineURL := "http://" + s.Upstream.Address
 	client := engine.NewHTTP(engine.HTTPOptions{BaseURL: engineURL, Dial: engine.DialFunc(d.Process.Dial)})
@@ -87,5 +89,5 @@
 		streams: map[string]http.Handler{"/stream/": sc.Handler()},
 		dump:    func() map[string]any { return map[string]any{"engine": sc.State()} },
 		drain:   sc.Drain,
-	}
+	}, sc.Observe(d.Meter)
 }
--- /dev/null
+++ b/internal/ledger/metrics.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// Observe exports the state of the ledger as metrics. None has a caller label.
+func (l *Ledger) Observe(m metric.Meter) error {
+	_, err := m.Int64ObservableCounter("fescueslip.ledger.calls", metric.WithUnit("{request}"),
+		metric.WithDescription("Keyed calls by what the ledger did with them."),
+		metric.WithInt64Callback(l.observeCalls))
+	_, writeErr := m.Int64ObservableCounter("fescueslip.ledger.writes", metric.WithUnit("{write}"),
+		metric.WithDescription("Writes that this process sent to the key-value service."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(l.counts.writes.Load())
+			return nil
+		}))
+	_, unsettledErr := m.Int64ObservableGauge("fescueslip.ledger.unsettled", metric.WithUnit("{intent}"),
+		metric.WithDescription("Settlements that wait for their write."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(l.outbox.size()))
+			return nil
+		}))
+	return errors.Join(err, writeErr, unsettledErr)
+}
+
+func (l *Ledger) observeCalls(_ context.Context, o metric.Int64Observer) error {
+	results := []struct {
+		name  string
+		count int64
+	}{
+		{"committed", l.counts.commits.Load()},
+		{"replayed", l.counts.replays.Load()},
+		{"conflict", l.counts.conflicts.Load()},
+		{"refused", l.counts.refused.Load()},
+	}
+	for _, r := range results {
+		o.Observe(r.count, metric.WithAttributes(attribute.String("result", r.name)))
+	}
+	return nil
+}
--- a/internal/plain/once.go
+++ b/internal/plain/once.go
@@ -35,6 +35,9 @@
 			break
 		}
 		tried[m.Upstream] = true
+		if n > 0 {
+			p.counts.retriesOnce.Add(1)
+		}
 		last = p.attempt(ctx, c, m, n+1)
 		if last.answered() {
 			return last, nil
--- a/internal/plain/repeat.go
+++ b/internal/plain/repeat.go
@@ -61,7 +61,9 @@
 				return done, f
 			}
 		case <-hedge.C:
-			r.again(ctx, result{member: r.last})
+			if r.again(ctx, result{member: r.last}) {
+				r.router.counts.hedges.Add(1)
+			}
 		}
 	}
 }
@@ -73,7 +75,11 @@
 		return res, nil, true
 	}
 	r.keep(res)
-	if r.again(ctx, res) || r.running > 0 {
+	if r.again(ctx, res) {
+		r.router.counts.retriesRepeatable.Add(1)
+		return result{}, nil, false
+	}
+	if r.running > 0 {
 		return result{}, nil, false
 	}
 	if r.fallback.answered() {
--- a/internal/plain/router.go
+++ b/internal/plain/router.go
@@ -48,6 +48,7 @@
 	upstreams *upstreams
 	budget    *retryBudget
 	latencies *latencies
+	counts    routerCounts
 }
 
 // NewRouter returns a Router.
@@ -91,8 +92,15 @@
 		request:  r,
 		timeout:  routeTimeout(route),
 	}
-	defer func() { c.body.finish() }()
-	if f := p.serve(w, c); f != nil {
+	// Remains when the answer breaks off half-way, which panics.
+	result := callBroken
+	defer func() {
+		p.counts.ended(route.Repeatable, result)
+		c.body.finish()
+	}()
+	f = p.serve(w, c)
+	result = resultOf(f)
+	if f != nil {
 		p.logRefusal(c, f)
 		f.Write(w)
 	}
--- a/internal/sidecar/decode.go
+++ b/internal/sidecar/decode.go
@@ -106,6 +106,7 @@
 	if g == nil {
 		return false
 	}
+	x.s.counts.decodeGrants.Add(1)
 	x.s.record(&x.c.claim, "decode granted", g.freeIn.String())
 	x.send(&wire.DecodeReply{Body: &wire.DecodeReply_Granted{Granted: &wire.Granted{FreeInMs: millis(g.freeIn)}}})
 	return true
@@ -192,6 +193,7 @@
 	})
 	x.c.work.calls.Done()
 	t.Release(errors.Is(err, engine.ErrSilent))
+	x.s.counts.imports.add(err, x.ctx.Err() != nil || x.c.paused.Err() != nil)
 	if err != nil {
 		return err
 	}
@@ -277,6 +279,7 @@
 }
 
 func (x *decodeSession) refused(r *refusal) {
+	x.s.counts.decodeRefusals.add(r.kind)
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
 	}
--- a/internal/sidecar/prefill.go
+++ b/internal/sidecar/prefill.go
@@ -70,6 +70,7 @@
 	case ref != nil:
 		x.refused(ref)
 	case g != nil:
+		x.s.counts.prefillGrants.Add(1)
 		x.compute()
 	}
 }
@@ -217,6 +218,7 @@
 }
 
 func (x *prefillSession) refused(r *refusal) {
+	x.s.counts.prefillRefusals.add(r.kind)
 	if x.c != nil {
 		x.s.record(&x.c.claim, "refused", r.detail)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,6 +58,7 @@
 	stop      context.CancelFunc
 	booted    chan struct{} // asks for a sweep
 	sessions  sessions
+	counts    sidecarCounts
 }
 
 // New returns a Sidecar. It takes work once Run has reached the engine.
