--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -170,6 +170,13 @@
 						t.Fatalf("got %d %s", w.Code, w.Body)
 					}
 				}
+				counts := &f.router.counts
+				if counts.retriesRepeatable.Load()+counts.hedges.Load() == 0 {
+					t.Error("the further attempts were not counted")
+				}
+				if n := counts.repeatable[callAnswered].Load(); n != 10 {
+					t.Errorf("%d calls were counted as answered, want 10", n)
+				}
 			})
 		})
 	}
@@ -212,6 +219,9 @@
 			if hedge && slowest > 10*time.Millisecond {
 				t.Errorf("slowest hedged call took %v", slowest)
 			}
+			if n := f.router.counts.hedges.Load(); (n > 0) != hedge {
+				t.Errorf("%d hedges were counted with hedging %v", n, hedge)
+			}
 			if !hedge && slowest < time.Second {
 				t.Errorf("hedged although the policy forbids it: slowest %v", slowest)
 			}
