--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -24,6 +24,7 @@
 	basePort int
 	duration time.Duration
 	logLevel string
+	load     demo.Load
 }
 
 // Demo returns the command that runs the whole system on loopback.
@@ -37,7 +38,7 @@
 
 // Usage implements subcommands.Command.
 func (*demoCommand) Usage() string {
-	return `demo [-base-port P] [-for 20s]
+	return `demo [-base-port P] [-for 20s [-seed N] [-model-rate R] [-lookup-rate R] [-booking-rate R]]
   Entries for callers on ports P and P+1, their admin ports on P+10 and P+11,
   the stand-ins' control on P+9, the platform's key-value service on P+2 and its
   instance list on P+3. With -for it runs a mixed load that long,
@@ -49,6 +50,11 @@
 func (c *demoCommand) SetFlags(f *flag.FlagSet) {
 	f.IntVar(&c.basePort, "base-port", defaultBasePort, "first port")
 	f.DurationVar(&c.duration, "for", 0, "run a mixed load this long, then exit")
+	c.load = demo.DefaultLoad(0)
+	f.Float64Var(&c.load.ModelRate, "model-rate", c.load.ModelRate, "with -for: model requests per second")
+	f.Float64Var(&c.load.LookupRate, "lookup-rate", c.load.LookupRate, "with -for: lookups per second")
+	f.Float64Var(&c.load.BookingRate, "booking-rate", c.load.BookingRate, "with -for: bookings per second")
+	f.Uint64Var(&c.load.Seed, "seed", c.load.Seed, "with -for: seed of the load")
 	f.StringVar(&c.logLevel, "log-level", "error", "debug, info, warn or error")
 }
 
@@ -77,7 +83,8 @@
 		<-ctx.Done()
 		return subcommands.ExitSuccess
 	}
-	report := fleet.Run(ctx, demo.DefaultLoad(c.duration))
+	c.load.Duration = c.duration
+	report := fleet.Run(ctx, c.load)
 	report.Print(os.Stdout)
 	if len(report.Broken) > 0 {
 		return subcommands.ExitFailure
--- a/internal/entry/subsets.go
+++ b/internal/entry/subsets.go
@@ -31,7 +31,7 @@
 	revision uint64
 	members  *membership.Member // first of the members that entries were taken from
 	entries  []string
-	pool     []string // all upstreams of the pool
+	pool     []string // the upstreams that the subset was drawn from
 	names    []string
 }
 
@@ -78,7 +78,8 @@
 	if s.current(revision, members) {
 		return s.names
 	}
-	next := &poolSubset{revision: revision, members: first(members), entries: entryNames(members), pool: pool}
+	entries, pool := sameRegion(members, self, pool)
+	next := &poolSubset{revision: revision, members: first(members), entries: entries, pool: pool}
 	if s != nil && slices.Equal(s.entries, next.entries) && slices.Equal(s.pool, next.pool) {
 		next.names = s.names
 	} else {
@@ -105,6 +106,56 @@
 	return names
 }
 
+// sameRegion returns the entries and the upstreams of the pool that are in the
+// region of this entry: the KV cache and the tokens of a request then stay
+// there. Upstreams of unknown region count as its own, so that the restart of a
+// sidecar moves no subset. An entry whose region has no upstream that takes
+// work, or that does not know its own record yet, uses all regions.
+func sameRegion(members []membership.Member, self string, pool []string) (entries, upstreams []string) {
+	region, known := regionOf(members, self)
+	if known {
+		entries = entriesIn(members, region)
+		upstreams, known = upstreamsIn(members, region, pool)
+	}
+	if !known {
+		return entryNames(members), pool
+	}
+	return entries, upstreams
+}
+
+func entriesIn(members []membership.Member, region string) []string {
+	var local []membership.Member
+	for _, m := range members {
+		if m.Region == region {
+			local = append(local, m)
+		}
+	}
+	return entryNames(local)
+}
+
+// upstreamsIn leaves out the upstreams of other regions. It reports whether any
+// of the others takes work.
+func upstreamsIn(members []membership.Member, region string, pool []string) (upstreams []string, working bool) {
+	foreign := make(map[string]bool)
+	local := make(map[string]bool)
+	for _, m := range members {
+		switch {
+		case m.Upstream == "":
+		case m.Region != region:
+			foreign[m.Upstream] = true
+		case m.State.AcceptsWork():
+			local[m.Upstream] = true
+		}
+	}
+	for _, name := range pool {
+		if !foreign[name] {
+			upstreams = append(upstreams, name)
+			working = working || local[name]
+		}
+	}
+	return upstreams, working
+}
+
 func entryNames(members []membership.Member) []string {
 	var names []string
 	for _, m := range members {
@@ -115,3 +166,12 @@
 	slices.Sort(names)
 	return names
 }
+
+func regionOf(members []membership.Member, name string) (string, bool) {
+	for _, m := range members {
+		if m.Name == name {
+			return m.Region, true
+		}
+	}
+	return "", false
+}
