Count a request as accepted once an engine may have begun

Cause, found under five times the capacity: a granted decode slot counted as acceptance, so a request waited in the prefill queue without limit and could not be refused; and a moved prefill kept its closed stream, so its request hung.

--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -41,8 +41,12 @@
 }
 
 // noPrefill gives the reservation back: a decode slot must not wait for a
-// prefill that cannot start.
+// prefill that cannot start. As long as no engine has begun, the request is
+// refused, truthfully as not run.
 func (r *runner) noPrefill(detail string) error {
+	if !r.accepted && !r.req.Suspect {
+		return refusalFault(r.refusals)
+	}
 	return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: detail}
 }
 
@@ -52,6 +56,7 @@
 	case *wire.PrefillReply_Queued:
 		return r.prefillQueued(c, time.Duration(b.Queued.WaitMs)*time.Millisecond)
 	case *wire.PrefillReply_Started:
+		r.accepted = true
 		r.prefillBegan = time.Now()
 	case *wire.PrefillReply_Ready:
 		return r.prefillReady(c, b.Ready)
@@ -62,8 +67,10 @@
 		if b.Refused.Kind == wire.RefusalKind_REFUSAL_SUSPECT && !r.req.Suspect {
 			return r.becomeSuspect(c.target.upstream)
 		}
+		r.refusals = append(r.refusals, b.Refused)
 		return r.prefillLost(c, "refused: "+b.Refused.Kind.String())
 	case *wire.PrefillReply_Failed:
+		r.accepted = true
 		if b.Failed.Kind == wire.FailureKind_FAILURE_ENGINE_LOST {
 			r.entry.cache.forget(c.target.upstream)
 			return r.crashed(c.target.upstream)
@@ -74,6 +81,8 @@
 }
 
 func (r *runner) prefillEnded(c *prefillConn, err error) error {
+	// The prefill may have begun; only a refusal tells that it has not.
+	r.accepted = true
 	return r.prefillLost(c, endDetail(err))
 }
 
@@ -119,11 +128,13 @@
 	}
 	r.prefillMoves++
 	r.record("prefill-moved", c.target.upstream, wait.String())
-	c.close(cancelPrefill("another upstream is sooner"))
+	r.releasePrefill("another upstream is sooner")
+	defer delete(r.prefillTried, c.target.upstream)
 	return r.beginPrefill()
 }
 
 func (r *runner) prefillReady(c *prefillConn, ready *wire.Ready) error {
+	r.accepted = true
 	if c != r.prefill {
 		c.close(cancelPrefill("replaced"))
 		return nil
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -36,7 +36,7 @@
 	}
 	f := refusalFault(r.refusals)
 	if r.accepted {
-		// An accepted request is owed its answer: wait and try again.
+		// Work ran for the request, so it is owed its answer: wait and try again.
 		return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: f.Message}
 	}
 	return f
@@ -64,11 +64,11 @@
 	}
 	r.decode = c
 	r.charge()
-	if !r.accepted {
+	if !r.wasGranted {
 		r.entry.retries.first(r.snap.Policy.RetryBudget, r.req.Caller.Name, c.target.upstream)
 		r.entry.accounts.of(r.req.Caller.Name).granted(time.Since(r.req.Accepted))
 	}
-	r.accepted = true
+	r.wasGranted = true
 	r.record("granted", c.target.upstream, (time.Duration(g.FreeInMs) * time.Millisecond).String())
 	for _, p := range r.pending {
 		if p != c {
--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -64,7 +64,8 @@
 	decode     *decodeConn // holds the granted reservation
 	charged    float64     // cost noted for that reservation
 	refusals   []*wire.Refused
-	accepted   bool // a reservation was granted; the request is owed its answer
+	wasGranted bool
+	accepted   bool // an engine may have begun work; the request is owed its answer
 
 	prefill      *prefillConn
 	ready        *wire.Ready // the output that the prefill stream holds
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -81,7 +81,7 @@
 		// A request that continues was accepted before and is owed its answer.
 		return c, nil
 	}
-	c.overdue = max(0, limit-time.Duration(r.GetWaitedMs())*time.Millisecond)
+	c.overdue = max(1, limit-time.Duration(r.GetWaitedMs())*time.Millisecond)
 	if wait := d.decodeWait(c); wait > limit {
 		d.decode.queue.Remove(c.item)
 		d.forget(&c.claim)
