--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -3,27 +3,61 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 )
 
-// The page's commands use the demo's default ports; the test moves them away
-// from a demo that somebody may be running.
+// pagePorts begins the demo's default addresses, which the page's commands use;
+// the test moves them away from a demo that somebody may be running.
+const pagePorts = "127.0.0.1:180"
+
+// portBlock is the number of ports from which a test takes its own, and
+// lastBlock the last block that it tries.
 const (
-	pagePorts = "127.0.0.1:180"
-	testPorts = "127.0.0.1:380"
+	firstBlock = 200
+	lastBlock  = 320
+	portBlock  = 100
 )
 
+// freeBlock returns a hundred N such that the ports from N80 to N99 are free, so
+// that two checkouts can run the tests at the same time.
+func freeBlock(t *testing.T) int {
+	t.Helper()
+	for block := firstBlock + os.Getpid()%(lastBlock-firstBlock); block < lastBlock; block++ {
+		if allFree(block*portBlock+80, block*portBlock+99) {
+			return block
+		}
+	}
+	t.Fatal("no free ports for the demo")
+	return 0
+}
+
+func allFree(first, last int) bool {
+	for port := first; port <= last; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // Guards against an operations page whose commands no longer work.
 func TestOperationsPageCommands(t *testing.T) {
 	bin := buildBinary(t)
-	startDemo(t, bin)
+	block := freeBlock(t)
+	testPorts := fmt.Sprintf("127.0.0.1:%d", block)
+	startDemo(t, bin, block*portBlock+80)
 	t.Setenv("PATH", filepath.Dir(bin)+string(os.PathListSeparator)+os.Getenv("PATH"))
-	t.Setenv("REQUEST_ID", sendRequest(t))
+	t.Setenv("REQUEST_ID", sendRequest(t, testPorts))
 	for _, line := range shellLines(t, "../../docs/operations.md") {
 		t.Run(line, func(t *testing.T) {
 			out, err := exec.Command("sh", "-c", strings.ReplaceAll(line, pagePorts, testPorts)).CombinedOutput()
@@ -44,9 +78,9 @@
 }
 
 // startDemo returns when the demo has printed "ready" on a line of its own.
-func startDemo(t *testing.T, bin string) {
+func startDemo(t *testing.T, bin string, basePort int) {
 	t.Helper()
-	cmd := exec.Command(bin, "demo", "-base-port", "38080")
+	cmd := exec.Command(bin, "demo", "-base-port", strconv.Itoa(basePort))
 	cmd.Stderr = os.Stderr
 	out, err := cmd.StdoutPipe()
 	if err != nil {
@@ -72,7 +106,7 @@
 	t.Fatal("the demo ended before it was ready")
 }
 
-func sendRequest(t *testing.T) string {
+func sendRequest(t *testing.T, testPorts string) string {
 	t.Helper()
 	body := strings.NewReader(`{"model":"demo-model","max_tokens":3,"prompt":"hello"}`)
 	req, err := http.NewRequest(http.MethodPost, "http://"+testPorts+"80/v1/completions", body)
--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -55,7 +55,7 @@
 
 func newSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, bin: buildBinary(t), dir: t.TempDir(), params: costmodel.Default(), ports: 39080}
+	s := &system{t: t, bin: buildBinary(t), dir: t.TempDir(), params: costmodel.Default(), ports: freeBlock(t)*portBlock + 80}
 	s.kv = kvstore.Serve(kvstore.NewStore(kvstore.Options{}), listenLoopback(t), nil)
 	t.Cleanup(func() { _ = s.kv.Close() })
 	s.list = instances.Serve(instances.New(0), listenLoopback(t))
