--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -30,7 +30,9 @@
 // that two checkouts can run the tests at the same time.
 func freeBlock(t *testing.T) int {
 	t.Helper()
-	for block := firstBlock + os.Getpid()%(lastBlock-firstBlock); block < lastBlock; block++ {
+	const blocks = lastBlock - firstBlock
+	for i := range blocks {
+		block := firstBlock + (os.Getpid()+i)%blocks
 		if allFree(block*portBlock+80, block*portBlock+99) {
 			return block
 		}
