--- a/internal/demo/control.go
+++ b/internal/demo/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -116,22 +117,14 @@
 }
 
 func getJSON(ctx context.Context, client *http.Client, url string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s: %s", url, resp.Status)
-	}
-	return json.NewDecoder(resp.Body).Decode(into)
+	return get(ctx, client, url, func(body io.Reader) error { return json.NewDecoder(body).Decode(into) })
 }
 
 func (f *Fleet) probe(ctx context.Context, client *http.Client, url string) error {
+	return get(ctx, client, url, func(io.Reader) error { return nil })
+}
+
+func get(ctx context.Context, client *http.Client, url string, read func(io.Reader) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -144,5 +137,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("%s: %s", url, resp.Status)
 	}
-	return nil
+	return read(resp.Body)
 }
--- a/internal/sidecar/desk.go
+++ b/internal/sidecar/desk.go
@@ -92,6 +92,26 @@
 	d.live[c.id] = c
 }
 
+// firstAttempt is the number of a request's first attempt.
+const firstAttempt = 1
+
+// limitWait refuses a queued claim whose wait would exceed the queue limit, and
+// otherwise sets the time after which it is refused if the estimate was wrong.
+// A request that continues was accepted before and is never refused for its wait.
+func (d *desk) limitWait(q *fairqueue.Queue, c *claim, waitedMs uint64, wait time.Duration) *refusal {
+	if c.attempt > firstAttempt {
+		return nil
+	}
+	limit := d.config.Snapshot().Policy.QueueLimit
+	c.overdue = max(1, limit-time.Duration(waitedMs)*time.Millisecond)
+	if wait <= limit {
+		return nil
+	}
+	q.Remove(c.item)
+	d.forget(c)
+	return overloaded(wait)
+}
+
 // share prefers this process's configuration, unless the sender's is newer.
 func (d *desk) share(caller string, sent float64, revision uint64) float64 {
 	snap := d.config.Snapshot()
--- a/internal/sidecar/desk_decode.go
+++ b/internal/sidecar/desk_decode.go
@@ -76,23 +76,12 @@
 	if len(c.granted) > 0 {
 		return c, nil
 	}
-	limit := d.config.Snapshot().Policy.QueueLimit
-	if c.attempt > firstAttempt {
-		// A request that continues was accepted before and is owed its answer.
-		return c, nil
-	}
-	c.overdue = max(1, limit-time.Duration(r.GetWaitedMs())*time.Millisecond)
-	if wait := d.decodeWait(c); wait > limit {
-		d.decode.queue.Remove(c.item)
-		d.forget(&c.claim)
-		return nil, overloaded(wait)
+	if ref := d.limitWait(d.decode.queue, &c.claim, r.GetWaitedMs(), d.decodeWait(c)); ref != nil {
+		return nil, ref
 	}
 	return c, nil
 }
 
-// firstAttempt is the number of a request's first attempt.
-const firstAttempt = 1
-
 func (d *desk) newDecodeClaim(r *wire.Reserve) *decodeClaim {
 	share := d.share(r.GetCaller(), r.GetShare(), r.GetConfigRevision())
 	c := &decodeClaim{
--- a/internal/sidecar/desk_prefill.go
+++ b/internal/sidecar/desk_prefill.go
@@ -73,15 +73,8 @@
 	if c.begun {
 		return c, nil
 	}
-	limit := d.config.Snapshot().Policy.QueueLimit
-	if c.attempt > firstAttempt {
-		return c, nil
-	}
-	c.overdue = max(1, limit-time.Duration(r.GetWaitedMs())*time.Millisecond)
-	if wait := d.prefillWait(c); wait > limit {
-		d.prefill.queue.Remove(c.item)
-		d.forget(&c.claim)
-		return nil, overloaded(wait)
+	if ref := d.limitWait(d.prefill.queue, &c.claim, r.GetWaitedMs(), d.prefillWait(c)); ref != nil {
+		return nil, ref
 	}
 	return c, nil
 }
