Do not move a prefill while its request has no reservation

Cause: a prefill of an earlier attempt may report its wait while the next attempt still reserves; moving it read the reservation that was not there, and the handler panicked. The new test panicked before. Panics now log their stack.

--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -39,7 +40,7 @@
 		if p == http.ErrAbortHandler {
 			panic(p)
 		}
-		e.log.Error("request handler panicked", "request", c.GetString(keyRequestID), "panic", fmt.Sprint(p))
+		e.log.Error("request handler panicked", "request", c.GetString(keyRequestID), "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		if !c.Writer.Written() {
 			fault.From(nil).Write(c.Writer)
 		}
--- a/internal/entry/prefill.go
+++ b/internal/entry/prefill.go
@@ -116,7 +116,9 @@
 // prefillQueued moves a prefill that waits longer than another upstream
 // promises: what an entry believes of caches and queues can be out of date.
 func (r *runner) prefillQueued(c *prefillConn, wait time.Duration) error {
-	if c != r.prefill || r.req.Suspect || r.prefillMoves >= maxPrefillMoves {
+	// Without a reservation the prefill is that of an earlier attempt; where it
+	// will be needed is not known yet.
+	if c != r.prefill || r.decode == nil || r.req.Suspect || r.prefillMoves >= maxPrefillMoves {
 		return nil
 	}
 	avoid := r.prefillAvoid()
--- /dev/null
+++ b/internal/entry/prefill_test.go
@@ -0,0 +1,19 @@
+package entry
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a panic when a prefill of an earlier attempt reports its wait
+// while the next attempt has no reservation yet.
+func TestQueuedPrefillWithoutReservation(t *testing.T) {
+	r := &runner{req: &Request{}, avoid: map[string]bool{}}
+	r.prefill = &prefillConn{target: target{upstream: "p"}}
+	if err := r.prefillQueued(r.prefill, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if r.prefillMoves != 0 {
+		t.Error("the prefill was moved")
+	}
+}
