--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,6 +33,7 @@
 		Serve(env),
 		Check(env),
 		Ticket(env),
+		Quarantine(env),
 		Demo(env),
 		&Dump{},
 		&Explain{},
