Start with an incarnation above the listed one

A clock that stepped back between two lives of a process made peers take the new life for the old one. The start reads the platform's list once.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -65,7 +65,7 @@
 		}
 		return subcommands.ExitFailure
 	}
-	process, err := c.process(s)
+	process, err := c.process(ctx, s)
 	if err != nil {
 		c.env.errorf("serve: %v\n", err)
 		return subcommands.ExitFailure
@@ -74,16 +74,15 @@
 }
 
 // process opens the listeners and the clients that the settings name.
-func (c *serveCommand) process(s *settings.Settings) (app.Process, error) {
+func (c *serveCommand) process(ctx context.Context, s *settings.Settings) (app.Process, error) {
 	logger, err := telemetry.NewLogger(c.env.Stderr, telemetry.LogFormat(s.Log.Format), s.Log.Level)
 	if err != nil {
 		return app.Process{}, err
 	}
 	p := app.Process{
-		Settings:    s,
-		Incarnation: uint64(time.Now().UnixNano()),
-		Dial:        wire.DefaultDial(),
-		Logger:      logger.With("instance", s.Instance),
+		Settings: s,
+		Dial:     wire.DefaultDial(),
+		Logger:   logger.With("instance", s.Instance),
 	}
 	if p.KV, err = platform.NewClient(platform.ClientOptions{URL: s.Platform.KV}); err != nil {
 		return p, err
@@ -91,9 +90,33 @@
 	if p.Instances, err = platform.NewInstancesClient(platform.InstancesOptions{URL: s.Platform.Instances}); err != nil {
 		return p, err
 	}
+	p.Incarnation = incarnation(ctx, p)
 	return p, listen(&p)
 }
 
+// incarnationTimeout bounds the look at the platform's list at the start.
+const incarnationTimeout = 2 * time.Second
+
+// incarnation returns a number above that of the process's earlier lives. The
+// clock alone would not do: it may have stepped back since the life before,
+// which the platform's list still shows.
+func incarnation(ctx context.Context, p app.Process) uint64 {
+	next := uint64(time.Now().UnixNano())
+	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
+	defer cancel()
+	list, err := p.Instances.List(ctx)
+	if err != nil {
+		p.Logger.Warn("instance list unavailable at the start; the incarnation follows from the clock alone", "err", err)
+		return next
+	}
+	for _, in := range list {
+		if in.Name == p.Settings.Instance {
+			next = max(next, in.Incarnation+1)
+		}
+	}
+	return next
+}
+
 func listen(p *app.Process) error {
 	s := p.Settings
 	var err error
