--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -27,6 +27,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
+	headerCutoff      = 4
 	// closeTimeout bounds the wait for idle connections at the end of a
 	// shutdown; requests have ended by then.
 	closeTimeout = time.Second
@@ -165,7 +166,9 @@
 		Handler:           e.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(p.Settings.Limits.MaxHeader),
+		// The entry refuses a header over its limit with a typed error; the server
+		// cuts off only what is far beyond it.
+		MaxHeaderBytes: headerCutoff * int(p.Settings.Limits.MaxHeader),
 	}, logger)
 }
 
--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -74,13 +74,20 @@
 }
 
 func (e *Entry) checkHeaders(c *gin.Context) {
-	count := 0
-	for _, values := range c.Request.Header {
+	count, size := 0, len(c.Request.RequestURI)
+	for name, values := range c.Request.Header {
 		count += len(values)
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
 	}
-	if count > e.limits.MaxHeaderCount {
-		e.refuse(c, fault.New(fault.KindMalformed, "send fewer header fields",
+	switch {
+	case count > e.limits.MaxHeaderCount:
+		e.refuse(c, fault.New(fault.KindHeaderTooLarge, "send fewer header fields",
 			"%d header fields are more than the %d allowed", count, e.limits.MaxHeaderCount))
+	case size > e.limits.MaxHeaderBytes:
+		e.refuse(c, fault.New(fault.KindHeaderTooLarge, "send a smaller header",
+			"the header has %d bytes; at most %d are taken", size, e.limits.MaxHeaderBytes))
 	}
 }
 
--- a/internal/entry/slow_test.go
+++ b/internal/entry/slow_test.go
@@ -86,3 +86,29 @@
 		})
 	}
 }
+
+// Guards against a header bomb that is taken, or refused without the typed error.
+func TestLargeHeadersAreRefused(t *testing.T) {
+	cases := []struct{ name, header string }{
+		{"many fields", strings.Repeat("X-A: 1\r\n", DefaultLimits().MaxHeaderCount+1)},
+		{"many bytes", "X-A: " + strings.Repeat("a", DefaultLimits().MaxHeaderBytes) + "\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, stop := testEntry(t)
+				defer stop()
+				conn := dial()
+				defer func() { _ = conn.Close() }()
+				_, _ = fmt.Fprintf(conn, "GET /v1/models HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s\r\n", c.header)
+				reply, err := io.ReadAll(conn)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !strings.HasPrefix(string(reply), "HTTP/1.1 431") || !strings.Contains(string(reply), `"code":"header_too_large"`) {
+					t.Errorf("got %q", reply)
+				}
+			})
+		})
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -37,6 +37,7 @@
 	KindMethod           Kind = "method_not_allowed"
 	KindPromptTooLong    Kind = "context_length_exceeded"
 	KindBodyTooLarge     Kind = "request_too_large"
+	KindHeaderTooLarge   Kind = "header_too_large"
 	KindSlowCaller       Kind = "request_timeout"
 	KindTooManyStreams   Kind = "too_many_streams"
 	KindOverloaded       Kind = "overloaded"
@@ -64,6 +65,7 @@
 	KindMethod:           http.StatusMethodNotAllowed,
 	KindPromptTooLong:    http.StatusBadRequest,
 	KindBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	KindHeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	KindSlowCaller:       http.StatusRequestTimeout,
 	KindTooManyStreams:   http.StatusTooManyRequests,
 	KindOverloaded:       http.StatusTooManyRequests,
