Share what stood twice: metric callbacks, command output, request hash

The commands dump, explain, fairness and bench write through Env as the others do, so tests can read them; fairness -json is now indented like the rest. The flight log hashes with the library in use. Methods that nothing called are gone (Sidecar.Order and four of the stand-ins).

--- a/internal/cli/adminclient.go
+++ b/internal/cli/adminclient.go
@@ -18,6 +18,7 @@
 
 // adminFlag is the flag -admin of the commands that read admin ports.
 type adminFlag struct {
+	env       Env
 	addresses string
 }
 
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -14,11 +11,8 @@
 	"github.com/fescueslip/fescueslip/internal/bench"
 )
 
-// Bench is the subcommand bench: it measures the policies in a discrete-event run.
-type Bench struct {
-	// Stdout and Stderr default to the process's own.
-	Stdout, Stderr io.Writer
-
+type benchCommand struct {
+	env   Env
 	cfg   bench.Config
 	json  bool
 	sweep bool
@@ -26,20 +20,23 @@
 	seeds int
 }
 
+// Bench returns the command that measures the policies in a discrete-event run.
+func Bench(env Env) subcommands.Command { return &benchCommand{env: env} }
+
 // Name implements subcommands.Command.
-func (*Bench) Name() string { return "bench" }
+func (*benchCommand) Name() string { return "bench" }
 
 // Synopsis implements subcommands.Command.
-func (*Bench) Synopsis() string { return "measure goodput and wasted prefill of the policies" }
+func (*benchCommand) Synopsis() string { return "measure goodput and wasted prefill of the policies" }
 
 // Usage implements subcommands.Command.
-func (*Bench) Usage() string {
+func (*benchCommand) Usage() string {
 	return "bench [-profile P] [-load L] [-policy P] [-seed N] [-seeds N] [-fault F] [-json]\n" +
 		"bench -sweep -out DIR [-profile P] [-seed N] [-seeds N]\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (b *Bench) SetFlags(f *flag.FlagSet) {
+func (b *benchCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&b.cfg.Profile, "profile", "consortium", "installation and settings: huronbay or consortium")
 	f.Float64Var(&b.cfg.Load, "load", 1, "demand as a multiple of the capacity that the upper bound gives")
 	f.StringVar(&b.cfg.Policy, "policy", bench.Fescueslip, "fescueslip, random-fcfs or least-loaded")
@@ -55,18 +52,15 @@
 }
 
 // Execute implements subcommands.Command.
-func (b *Bench) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if b.Stdout == nil {
-		b.Stdout, b.Stderr = os.Stdout, os.Stderr
-	}
+func (b *benchCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	if err := b.run(); err != nil {
-		fmt.Fprintln(b.Stderr, "bench:", err)
+		b.env.errorf("bench: %v\n", err)
 		return subcommands.ExitUsageError
 	}
 	return subcommands.ExitSuccess
 }
 
-func (b *Bench) run() error {
+func (b *benchCommand) run() error {
 	if b.sweep {
 		return bench.Sweep(bench.SweepConfig{Base: b.cfg, Seeds: b.seeds, Dir: b.out})
 	}
@@ -75,16 +69,15 @@
 		return err
 	}
 	if b.json {
-		enc := json.NewEncoder(b.Stdout)
-		enc.SetIndent("", "  ")
-		return enc.Encode(res)
+		b.env.printJSON(res)
+		return nil
 	}
 	b.print(res)
 	return nil
 }
 
-func (b *Bench) print(r bench.Result) {
-	row := func(name string, value any) { fmt.Fprintf(b.Stdout, "%-28s %v\n", name, value) }
+func (b *benchCommand) print(r bench.Result) {
+	row := func(name string, value any) { b.env.printf("%-28s %v\n", name, value) }
 	row("offered", r.Offered)
 	row("finished", r.Finished)
 	row("refused, not run", r.RefusedNotRun)
--- a/internal/cli/bench_test.go
+++ b/internal/cli/bench_test.go
@@ -14,7 +14,7 @@
 // Guards against renamed or missing fields, which scripts read.
 func TestBenchJSONFields(t *testing.T) {
 	var out, errs bytes.Buffer
-	b := &Bench{Stdout: &out, Stderr: &errs}
+	b := Bench(Env{Stdout: &out, Stderr: &errs})
 	f := flag.NewFlagSet("bench", flag.ContinueOnError)
 	b.SetFlags(f)
 	if err := f.Parse([]string{"-profile", "huronbay", "-load", "0.5", "-duration", "10s", "-json"}); err != nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,10 +35,10 @@
 		Ticket(env),
 		Quarantine(env),
 		Demo(env),
-		&Dump{},
-		&Explain{},
-		&Fairness{},
-		&Bench{},
+		Dump(env),
+		Explain(env),
+		Fairness(env),
+		Bench(env),
 		&version.Command{},
 	}
 }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -85,7 +84,7 @@
 	}
 	c.load.Duration = c.duration
 	report := fleet.Run(ctx, c.load)
-	report.Print(os.Stdout)
+	report.Print(c.env.Stdout)
 	if len(report.Broken) > 0 {
 		return subcommands.ExitFailure
 	}
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -5,31 +5,32 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"os"
 	"slices"
 
 	"github.com/google/subcommands"
 )
 
-// Dump prints the state of one or more processes and points at disagreement
-// between them.
-type Dump struct {
+type dumpCommand struct {
 	admin adminFlag
 }
 
+// Dump returns the command that prints the state of one or more processes and
+// points at disagreement between them.
+func Dump(env Env) subcommands.Command { return &dumpCommand{admin: adminFlag{env: env}} }
+
 // Name implements subcommands.Command.
-func (*Dump) Name() string { return "dump" }
+func (*dumpCommand) Name() string { return "dump" }
 
 // Synopsis implements subcommands.Command.
-func (*Dump) Synopsis() string { return "print the state of processes and where they disagree" }
+func (*dumpCommand) Synopsis() string { return "print the state of processes and where they disagree" }
 
 // Usage implements subcommands.Command.
-func (*Dump) Usage() string {
+func (*dumpCommand) Usage() string {
 	return "dump [-admin host:port,…]\n  Prints {\"processes\": {address: state}, \"disagreements\": […], \"unreachable\": {address: reason}} as JSON.\n  Exit code 1 when a process cannot be reached.\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (d *Dump) SetFlags(f *flag.FlagSet) { d.admin.register(f) }
+func (d *dumpCommand) SetFlags(f *flag.FlagSet) { d.admin.register(f) }
 
 type dumpReport struct {
 	Processes     map[string]json.RawMessage `json:"processes"`
@@ -38,7 +39,7 @@
 }
 
 // Execute implements subcommands.Command.
-func (d *Dump) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (d *dumpCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	report := dumpReport{Processes: map[string]json.RawMessage{}, Unreachable: map[string]string{}, Disagreements: []string{}}
 	var states []*processState
 	for _, address := range d.admin.list() {
@@ -51,12 +52,7 @@
 		states = append(states, s)
 	}
 	report.Disagreements = append(report.Disagreements, disagreements(states)...)
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	if err := enc.Encode(report); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
+	d.admin.env.printJSON(report)
 	if len(report.Unreachable) > 0 {
 		return subcommands.ExitFailure
 	}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net/url"
-	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -16,49 +16,51 @@
 	"github.com/fescueslip/fescueslip/internal/admin"
 )
 
-// Explain tells one request's way through the processes.
-type Explain struct {
+type explainCommand struct {
 	admin   adminFlag
 	request string
 }
 
+// Explain returns the command that tells one request's way through the processes.
+func Explain(env Env) subcommands.Command { return &explainCommand{admin: adminFlag{env: env}} }
+
 // Name implements subcommands.Command.
-func (*Explain) Name() string { return "explain" }
+func (*explainCommand) Name() string { return "explain" }
 
 // Synopsis implements subcommands.Command.
-func (*Explain) Synopsis() string { return "tell what happened to one request" }
+func (*explainCommand) Synopsis() string { return "tell what happened to one request" }
 
 // Usage implements subcommands.Command.
-func (*Explain) Usage() string {
+func (*explainCommand) Usage() string {
 	return "explain -request ID [-admin host:port,…]\n  ID is the response header X-Request-Id. Exit code 1 when no process remembers it.\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (e *Explain) SetFlags(f *flag.FlagSet) {
+func (e *explainCommand) SetFlags(f *flag.FlagSet) {
 	e.admin.register(f)
 	f.StringVar(&e.request, "request", "", "request id")
 }
 
 // Execute implements subcommands.Command.
-func (e *Explain) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (e *explainCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if e.request == "" {
-		fmt.Fprintln(os.Stderr, "explain: name the request with -request ID")
+		e.admin.env.errorf("explain: name the request with -request ID\n")
 		return subcommands.ExitUsageError
 	}
 	var events []admin.ProcessEvent
 	for _, address := range e.admin.list() {
 		found, err := fetchEvents(ctx, address, e.request)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "explain:", err)
+			e.admin.env.errorf("explain: %v\n", err)
 			continue
 		}
 		events = append(events, found...)
 	}
 	if len(events) == 0 {
-		fmt.Fprintln(os.Stderr, "explain: no process remembers the request; each keeps its recent requests only")
+		e.admin.env.errorf("explain: no process remembers the request; each keeps its recent requests only\n")
 		return subcommands.ExitFailure
 	}
-	printEvents(events)
+	printEvents(e.admin.env.Stdout, events)
 	return subcommands.ExitSuccess
 }
 
@@ -74,10 +76,10 @@
 	return list, nil
 }
 
-func printEvents(events []admin.ProcessEvent) {
+func printEvents(out io.Writer, events []admin.ProcessEvent) {
 	slices.SortStableFunc(events, func(a, b admin.ProcessEvent) int { return a.Time.Compare(b.Time) })
 	first := events[0].Time
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "AFTER\tPROCESS\tATTEMPT\tEVENT\tUPSTREAM\tDETAIL")
 	for _, e := range events {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\n", e.Time.Sub(first).Round(time.Millisecond),
--- a/internal/cli/fairness.go
+++ b/internal/cli/fairness.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"maps"
-	"os"
 	"slices"
 	"text/tabwriter"
 
@@ -15,36 +15,39 @@
 	"github.com/fescueslip/fescueslip/internal/entry"
 )
 
-// Fairness prints what each caller asked for and got over several entries.
-type Fairness struct {
+type fairnessCommand struct {
 	admin adminFlag
 	json  bool
 }
 
+// Fairness returns the command that prints what each caller asked for and got
+// over several entries.
+func Fairness(env Env) subcommands.Command { return &fairnessCommand{admin: adminFlag{env: env}} }
+
 // Name implements subcommands.Command.
-func (*Fairness) Name() string { return "fairness" }
+func (*fairnessCommand) Name() string { return "fairness" }
 
 // Synopsis implements subcommands.Command.
-func (*Fairness) Synopsis() string { return "compare what callers asked for and got" }
+func (*fairnessCommand) Synopsis() string { return "compare what callers asked for and got" }
 
 // Usage implements subcommands.Command.
-func (*Fairness) Usage() string {
+func (*fairnessCommand) Usage() string {
 	return "fairness [-json] [-admin host:port,…]\n  Counts since the start of each entry; times in milliseconds. No content of any caller is shown.\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (c *Fairness) SetFlags(f *flag.FlagSet) {
+func (c *fairnessCommand) SetFlags(f *flag.FlagSet) {
 	c.admin.register(f)
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 // Execute implements subcommands.Command.
-func (c *Fairness) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *fairnessCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	byCaller := map[string]*entry.AccountReport{}
 	for _, address := range c.admin.list() {
 		accounts, err := fetchAccounts(ctx, address)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "fairness:", err)
+			c.admin.env.errorf("fairness: %v\n", err)
 			return subcommands.ExitFailure
 		}
 		for _, a := range accounts {
@@ -56,12 +59,10 @@
 		list = append(list, *byCaller[name])
 	}
 	if c.json {
-		if err := json.NewEncoder(os.Stdout).Encode(list); err != nil {
-			return subcommands.ExitFailure
-		}
+		c.admin.env.printJSON(list)
 		return subcommands.ExitSuccess
 	}
-	printAccounts(list)
+	printAccounts(c.admin.env.Stdout, list)
 	return subcommands.ExitSuccess
 }
 
@@ -91,8 +92,8 @@
 	sum.Add(a)
 }
 
-func printAccounts(list []entry.AccountReport) {
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', tabwriter.AlignRight)
+func printAccounts(out io.Writer, list []entry.AccountReport) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(w, "CALLER\tSHARE\tOFFERED\tFINISHED\tREFUSED\tFAILED\tCANCELLED\tPROMPT TOKENS\tOUTPUT TOKENS\tGRANT WAIT MS\tTTFT MS\t")
 	for _, a := range list {
 		_, _ = fmt.Fprintf(w, "%s\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", a.Caller, a.Share, a.Offered, a.Finished,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
 // Metrics are the instruments of an entry. None has a caller label: 18,000
@@ -26,32 +27,27 @@
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	var out Metrics
 	var errs []error
-	note := func(err error) {
-		if err != nil {
-			errs = append(errs, err)
-		}
-	}
 	var err error
 	out.requests, err = m.Int64Counter("fescueslip.entry.requests", metric.WithUnit("{request}"),
 		metric.WithDescription("Model requests by result."))
-	note(err)
+	errs = append(errs, err)
 	out.refusals, err = m.Int64Counter("fescueslip.entry.refusals", metric.WithUnit("{request}"),
 		metric.WithDescription("Refused or failed requests by error kind."))
-	note(err)
+	errs = append(errs, err)
 	out.attempts, err = m.Int64Counter("fescueslip.entry.attempts", metric.WithUnit("{attempt}"),
 		metric.WithDescription("Attempts of model requests."))
-	note(err)
+	errs = append(errs, err)
 	out.tokens, err = m.Int64Counter("fescueslip.entry.output_tokens", metric.WithUnit("{token}"),
 		metric.WithDescription("Output tokens delivered to callers."))
-	note(err)
+	errs = append(errs, err)
 	out.duration, err = m.Float64Histogram("fescueslip.entry.request.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from acceptance to the end of the answer."),
 		metric.WithExplicitBucketBoundaries(0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25, 60, 120, 300, 600))
-	note(err)
+	errs = append(errs, err)
 	out.firstToken, err = m.Float64Histogram("fescueslip.entry.first_token.duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from acceptance to the first token."),
 		metric.WithExplicitBucketBoundaries(0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 20))
-	note(err)
+	errs = append(errs, err)
 	return &out, errors.Join(errs...)
 }
 
@@ -89,9 +85,6 @@
 func (e *Entry) ObserveHints(m metric.Meter) error {
 	_, err := m.Int64ObservableCounter("fescueslip.control.hint.bytes", metric.WithUnit("By"),
 		metric.WithDescription("Bytes of the load hints received from sidecars."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(e.hints.bytes.Load())
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(e.hints.bytes.Load)))
 	return err
 }
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -6,6 +6,8 @@
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
 // Observe exports the state of the ledger as metrics. None has a caller label.
@@ -15,16 +17,10 @@
 		metric.WithInt64Callback(l.observeCalls))
 	_, writeErr := m.Int64ObservableCounter("fescueslip.ledger.writes", metric.WithUnit("{write}"),
 		metric.WithDescription("Writes that this process sent to the key-value service."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(l.counts.writes.Load())
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(l.counts.writes.Load)))
 	_, unsettledErr := m.Int64ObservableGauge("fescueslip.ledger.unsettled", metric.WithUnit("{intent}"),
 		metric.WithDescription("Settlements that wait for their write."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(int64(l.outbox.size()))
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(func() int64 { return int64(l.outbox.size()) })))
 	return errors.Join(err, writeErr, unsettledErr)
 }
 
--- a/internal/plain/metrics.go
+++ b/internal/plain/metrics.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
 // callResult is how a call ended for its caller.
@@ -84,10 +85,7 @@
 		}))
 	_, hedgeErr := m.Int64ObservableCounter("fescueslip.plain.hedges", metric.WithUnit("{attempt}"),
 		metric.WithDescription("Further attempts beside a slow one."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(c.hedges.Load())
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(c.hedges.Load)))
 	return errors.Join(err, retryErr, hedgeErr)
 }
 
@@ -100,16 +98,10 @@
 func (s *Sidecar) Observe(m metric.Meter) error {
 	_, err := m.Int64ObservableCounter("fescueslip.service.submitted", metric.WithUnit("{request}"),
 		metric.WithDescription("Calls of which the service may have seen a part."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(s.counts.submitted.Load())
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(s.counts.submitted.Load)))
 	_, runErr := m.Int64ObservableGauge("fescueslip.service.running", metric.WithUnit("{request}"),
 		metric.WithDescription("Calls in progress."),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(s.counts.running.Load())
-			return nil
-		}))
+		metric.WithInt64Callback(telemetry.Observed(s.counts.running.Load)))
 	_, refusedErr := m.Int64ObservableCounter("fescueslip.service.refused", metric.WithUnit("{request}"),
 		metric.WithDescription("Refused calls by reason; the service did not see them."),
 		metric.WithInt64Callback(s.observeReasons(refusedReasons)))
--- a/internal/sidecar/roles.go
+++ b/internal/sidecar/roles.go
@@ -12,11 +12,6 @@
 // roleInterval is how often the engine's role is compared with its pool's.
 const roleInterval = time.Second
 
-// Order issues an order to the engine under a new fencing token.
-func (s *Sidecar) Order(ctx context.Context, o engine.Order) error {
-	return s.orders.Issue(ctx, o)
-}
-
 // orderLoop keeps the engine's role equal to its pool's role and keeps the last
 // order in force.
 func (s *Sidecar) orderLoop(ctx context.Context) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -142,13 +142,6 @@
 // Journal returns the record of executions.
 func (e *Engine) Journal() *Journal { return e.journal }
 
-// BootID returns the identifier of the engine's present life.
-func (e *Engine) BootID() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.boot.id
-}
-
 // Counters returns the engine's figures, exact and without lag.
 func (e *Engine) Counters() Counters {
 	wasted := e.journal.WastedTokens(e.opts.Name)
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -173,9 +173,6 @@
 	return s.http.Close()
 }
 
-// HTTP returns the server under the list, for the faults of connections.
-func (s *Server) HTTP() *server.Server { return s.http }
-
 // Faults returns the kinds of faults with the functions that start them.
 // "pause" is the stuck list: it answers, but shows no change.
 func (s *Server) Faults() map[string]func(time.Duration) error {
--- a/internal/standin/kvstore/http.go
+++ b/internal/standin/kvstore/http.go
@@ -45,9 +45,6 @@
 	return s.http.Close()
 }
 
-// HTTP returns the server under the store, for the faults of connections.
-func (s *Server) HTTP() *server.Server { return s.http }
-
 // Faults returns the kinds of faults with the functions that start them.
 func (s *Server) Faults() map[string]func(time.Duration) error {
 	return map[string]func(time.Duration) error{
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -61,15 +61,6 @@
 // Close stops the store.
 func (s *Store) Close() error { return s.http.Close() }
 
-// Faults returns the kinds of faults with the functions that start them.
-func (s *Store) Faults() map[string]func(time.Duration) error {
-	return map[string]func(time.Duration) error{
-		"down":    func(d time.Duration) error { s.http.Down(d); return nil },
-		"pause":   func(d time.Duration) error { s.http.Pause(d); return nil },
-		"silence": func(d time.Duration) error { s.http.Silence(d, false); return nil },
-	}
-}
-
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	if !s.has(r.PathValue("model"), r.PathValue("version")) {
 		http.NotFound(w, r)
--- a/internal/telemetry/flightlog.go
+++ b/internal/telemetry/flightlog.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Event is one step of a request's way through a process.
@@ -85,9 +87,5 @@
 }
 
 func (l *FlightLog) shard(requestID string) *flightShard {
-	var h uint32 = 2166136261
-	for i := range len(requestID) {
-		h = (h ^ uint32(requestID[i])) * 16777619
-	}
-	return &l.shards[h%flightLogShards]
+	return &l.shards[xxhash.Sum64String(requestID)%flightLogShards]
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,6 +1,8 @@
 package telemetry
 
 import (
+	"context"
+
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
@@ -21,3 +23,11 @@
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	return provider.Meter(meterName), reg, nil
 }
+
+// Observed returns the callback of an instrument without labels that reads one value.
+func Observed(value func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(value())
+		return nil
+	}
+}
