--- a/cmd/fescueslip/main.go
+++ b/cmd/fescueslip/main.go
@@ -2,6 +2,11 @@
 // decode pools, and calls of plain HTTP services beside them.
 package main
 
+// Linking against the C library is what the platforms that the program runs on
+// ask for.
+
+import "C"
+
 import (
 	"os"
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 	env := OSEnv()
 	return []subcommands.Command{
 		Serve(env),
+		Gateway(env),
 		Check(env),
 		Ticket(env),
 		Quarantine(env),
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net"
+	"os"
+	"runtime/debug"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/app"
+	"github.com/fescueslip/fescueslip/internal/exchange"
+	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/strictyaml"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
+	"github.com/fescueslip/fescueslip/platform"
+)
+
+type gatewayCommand struct {
+	env    Env
+	config string
+}
+
+// Gateway returns the command that runs a gateway until it is told to stop.
+func Gateway(env Env) subcommands.Command { return &gatewayCommand{env: env} }
+
+// Name implements subcommands.Command.
+func (*gatewayCommand) Name() string { return "gateway" }
+
+// Synopsis implements subcommands.Command.
+func (*gatewayCommand) Synopsis() string {
+	return "serve clients straight at upstreams that reserve their own memory"
+}
+
+// Usage implements subcommands.Command.
+func (*gatewayCommand) Usage() string {
+	return `gateway [-config FILE]
+  Serves clients until SIGTERM or SIGINT, then shuts down gracefully. SIGHUP
+  reads the settings again. Without -config, the file is the one that the
+  environment variable FESCUESLIP_CONFIG names. Log lines go to standard output.
+  Exit code 2 when the settings have faults, 1 when the process cannot start.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", os.Getenv(platform.SettingsPathVariable), "settings file (YAML)")
+}
+
+const (
+	// heapShare is the part of the memory limit that the Go heap may take before
+	// the garbage collector works harder.
+	heapShare = 0.6
+	// garbagePercent trades processor time for memory.
+	garbagePercent = 60
+)
+
+// Execute implements subcommands.Command.
+func (c *gatewayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.config == "" {
+		c.env.errorf("gateway: name the settings file with -config FILE\n")
+		return exitFaults
+	}
+	s, err := settings.LoadGateway(c.config)
+	if err != nil {
+		c.env.errorf("gateway: %v\n", err)
+		var faults *strictyaml.Error
+		if errors.As(err, &faults) {
+			return exitFaults
+		}
+		return subcommands.ExitFailure
+	}
+	debug.SetMemoryLimit(int64(float64(s.Memory.Limit) * heapShare))
+	debug.SetGCPercent(garbagePercent)
+	lines := telemetry.NewAsyncWriter(c.env.Stdout)
+	defer func() { _ = lines.Close() }()
+	logger, err := telemetry.NewLogger(lines, telemetry.LogFormat(s.Log.Format), s.Log.Level)
+	if err != nil {
+		c.env.errorf("gateway: %v\n", err)
+		return exitFaults
+	}
+	logger = logger.With("instance", s.Instance)
+	p, err := c.process(s, logger)
+	if err != nil {
+		logger.Error("start failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	return runGateway(ctx, p)
+}
+
+func (c *gatewayCommand) process(s *settings.Gateway, logger *log.Logger) (app.GatewayProcess, error) {
+	pool := exchange.NewPool(nil)
+	p := app.GatewayProcess{
+		Settings:     s,
+		SettingsPath: c.config,
+		Adapter:      platform.NewAdapter(s.StoreAddress, pool),
+		Pool:         pool,
+		Logger:       logger,
+	}
+	var err error
+	if p.ClientListener, err = net.Listen("tcp", s.Listen.Client); err != nil {
+		return p, err
+	}
+	if p.ReadyListener, err = net.Listen("tcp", s.Listen.Ready); err != nil {
+		return p, err
+	}
+	p.AdminListener, err = net.Listen("tcp", s.Listen.Admin)
+	return p, err
+}
+
+func runGateway(ctx context.Context, p app.GatewayProcess) subcommands.ExitStatus {
+	a := fx.New(app.GatewayOptions(p))
+	if err := a.Start(ctx); err != nil {
+		p.Logger.Error("start failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	p.Logger.Info("started", "client", p.Settings.Listen.Client, "failure_domain", p.Settings.FailureDomain)
+	<-ctx.Done()
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout())
+	defer cancel()
+	if err := a.Stop(stopCtx); err != nil {
+		p.Logger.Error("shutdown failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	p.Logger.Info("stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/fleet/upstream.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// errorHalfLife is how fast the failure rate of an upstream is forgotten.
+	errorDecay = 0.12
+	// latencyDecay is the weight of one sample in the mean latency.
+	latencyDecay = 0.15
+)
+
+// Upstream is one instance and what this process observed of it. Its facts from
+// the list are replaced as a whole; observations survive that.
+type Upstream struct {
+	facts atomic.Pointer[Instance]
+
+	// InFlight counts the requests of this process that the upstream works on.
+	InFlight atomic.Int64
+	// PrefillTokens counts the prompt tokens that this process sent for prefill
+	// and that are not read yet.
+	PrefillTokens atomic.Int64
+	// removed is set once the instance has left the list.
+	removed atomic.Bool
+
+	mu        sync.Mutex
+	failures  float64 // moving share of failed requests, 0 to 1
+	latency   float64 // moving mean, in ms
+	silentSeq int     // consecutive requests without any answer
+	avoidTill time.Time
+	fullTill  time.Time
+}
+
+// Facts returns what the list says of the instance.
+func (u *Upstream) Facts() *Instance { return u.facts.Load() }
+
+// Usable reports whether the upstream may get new work.
+func (u *Upstream) Usable() bool { return !u.removed.Load() && !u.facts.Load().Leaving }
+
+// Removed reports whether the instance has left the list.
+func (u *Upstream) Removed() bool { return u.removed.Load() }
+
+// Succeeded records a complete answer after d.
+func (u *Upstream) Succeeded(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures -= u.failures * errorDecay
+	u.silentSeq = 0
+	ms := float64(d) / float64(time.Millisecond)
+	if u.latency == 0 {
+		u.latency = ms
+		return
+	}
+	u.latency += (ms - u.latency) * latencyDecay
+}
+
+// Failed records an answer that is an error of the upstream's own.
+func (u *Upstream) Failed() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures += (1 - u.failures) * errorDecay
+	u.silentSeq = 0
+}
+
+// Unreachable records a request that got no answer and keeps the upstream out
+// of the choice for the pause; it grows while nothing answers.
+func (u *Upstream) Unreachable(now time.Time, pause time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failures += (1 - u.failures) * errorDecay
+	u.silentSeq++
+	u.avoidTill = now.Add(pause * time.Duration(min(u.silentSeq, maxPauseFactor)))
+}
+
+// maxPauseFactor bounds the growth of the pause after failures in a row.
+const maxPauseFactor = 4
+
+// Full records that the upstream refused work for lack of room.
+func (u *Upstream) Full(now time.Time, pause time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fullTill = now.Add(pause)
+}
+
+// Health is a view of the observations at one moment.
+type Health struct {
+	FailureShare float64
+	LatencyMs    float64
+	Avoid        bool
+	Full         bool
+}
+
+// Health returns the observations as of now.
+func (u *Upstream) Health(now time.Time) Health {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return Health{
+		FailureShare: u.failures,
+		LatencyMs:    u.latency,
+		Avoid:        now.Before(u.avoidTill),
+		Full:         now.Before(u.fullTill),
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+)
+
+// Metrics are the counters and histograms of a gateway.
+type Metrics struct {
+	requests  metric.Int64Counter
+	refusals  metric.Int64Counter
+	duration  metric.Float64Histogram
+	firstByte metric.Float64Histogram
+	reserve   metric.Float64Histogram
+}
+
+// NewMetrics registers the instruments.
+func NewMetrics(m metric.Meter) (*Metrics, error) {
+	out := &Metrics{}
+	var errs [5]error
+	out.requests, errs[0] = m.Int64Counter("fescueslip_gateway_requests",
+		metric.WithDescription("Requests that ended, by kind of route and status class."))
+	out.refusals, errs[1] = m.Int64Counter("fescueslip_gateway_refusals",
+		metric.WithDescription("Requests that were refused or failed by the gateway itself, by kind of error."))
+	out.duration, errs[2] = m.Float64Histogram("fescueslip_gateway_request_seconds",
+		metric.WithDescription("Time from the request to the end of its answer."), metric.WithUnit("s"))
+	out.firstByte, errs[3] = m.Float64Histogram("fescueslip_gateway_first_byte_seconds",
+		metric.WithDescription("Time from the request to the first byte of its answer."), metric.WithUnit("s"))
+	out.reserve, errs[4] = m.Float64Histogram("fescueslip_gateway_reserve_seconds",
+		metric.WithDescription("Time that a model request waited for a slot and memory."), metric.WithUnit("s"))
+	return out, errors.Join(errs[:]...)
+}
+
+func (m *Metrics) began(*Call) {}
+
+func (m *Metrics) refused(kind fault.Kind) {
+	if m == nil {
+		return
+	}
+	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", string(kind))))
+}
+
+func (m *Metrics) ended(c *Call, res outcome, now time.Time) {
+	if m == nil {
+		return
+	}
+	ctx := context.Background()
+	kind := metric.WithAttributes(attribute.String("route_kind", c.Route.Kind.String()))
+	m.requests.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("route_kind", c.Route.Kind.String()), attribute.String("status", statusClass(res))))
+	m.duration.Record(ctx, now.Sub(c.Received).Seconds(), kind)
+	if !res.first.IsZero() {
+		m.firstByte.Record(ctx, res.first.Sub(c.Received).Seconds(), kind)
+	}
+	if c.Route.Model {
+		m.reserve.Record(ctx, res.steps.reserve.Seconds())
+	}
+	if res.err != nil {
+		m.refused(res.err.Kind)
+	}
+}
+
+func statusClass(res outcome) string {
+	if res.abort != nil {
+		return "cut"
+	}
+	const classSize = 100
+	return itoa(res.status/classSize) + "xx"
+}
--- /dev/null
+++ b/internal/gateway/model.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/fleet"
+)
+
+const (
+	// engineMaxIdle bounds the idle time of a connection for a model request.
+	engineMaxIdle = 700 * time.Millisecond
+	// prefillAnswerBytes bounds the answer to a prefill.
+	prefillAnswerBytes = 4 << 10
+	// releaseTimeout bounds a call that gives memory back.
+	releaseTimeout = time.Second
+)
+
+// serveModel answers a model request: it reserves a slot and memory at a decode
+// engine, has the prompt read at a prefill engine, and relays the decode
+// engine's stream.
+func (g *Gateway) serveModel(ctx context.Context, w http.ResponseWriter, c *Call) outcome {
+	g.budget.Request(c.Service.Name, c.Received)
+	m := &modelRun{g: g, call: c, w: w}
+	m.do(ctx)
+	return m.res
+}
+
+// modelRun carries one model request through its steps.
+type modelRun struct {
+	g    *Gateway
+	call *Call
+	w    http.ResponseWriter
+	res  outcome
+	// relay is set once an engine's answer has begun.
+	relay *streamRelay
+}
+
+func (m *modelRun) do(ctx context.Context) {
+	for {
+		retry, err := m.attempt(ctx)
+		if err == nil {
+			return
+		}
+		if m.relay != nil {
+			m.res.abort = err
+			return
+		}
+		if !retry || ctx.Err() != nil || !m.g.budget.Spend(m.call.Service.Name, time.Now(), retryReserve) {
+			m.res.err = m.failure(ctx, err, !retry)
+			return
+		}
+	}
+}
+
+// failure is the gateway's own answer when no engine's answer has begun.
+func (m *modelRun) failure(ctx context.Context, err error, mayHaveRun bool) *fault.Error {
+	var refusal *fault.Error
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	if !mayHaveRun {
+		return refuseOverloaded(m.g.modelRetryAfter(), "no engine took the request").WithCause(err)
+	}
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		return failTimeout(err, fault.Unknown)
+	}
+	return failUpstream(err)
+}
+
+func (g *Gateway) modelRetryAfter() time.Duration {
+	const least, spread = 300, 900
+	return time.Duration(least+rand.IntN(spread)) * time.Millisecond
+}
+
+// attempt runs the steps once. retry tells that the request has certainly not run.
+func (m *modelRun) attempt(ctx context.Context) (retry bool, err error) {
+	began := time.Now()
+	hold, err := m.g.reserve(ctx, m)
+	m.res.steps.reserve += time.Since(began)
+	if err != nil {
+		return true, err
+	}
+	m.res.steps.reservationTokens = hold.Tokens
+	source, err := m.prefill(ctx)
+	if err != nil {
+		m.release(hold)
+		return true, err
+	}
+	return m.decode(ctx, hold, source)
+}
+
+func (m *modelRun) release(hold Reservation) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := m.g.Engines.Release(ctx, hold); err != nil {
+			m.g.Logger.Info("reservation not released; it ends with its lease", "request", m.call.ID,
+				"upstream", hold.Engine.Facts().ID, "err", err)
+		}
+	}()
+}
+
+// prefillResult is where the KV cache of the prompt lies.
+type prefillResult struct {
+	engine *fleet.Upstream
+	handle string
+}
+
+func (m *modelRun) prefill(ctx context.Context) (*prefillResult, error) {
+	u := m.g.choosePrefill(m.call, nil)
+	if u == nil {
+		return nil, refuseNoUpstream(m.call.Service.Name)
+	}
+	began := time.Now()
+	tokens := int64(m.call.Model.PromptTokens)
+	u.PrefillTokens.Add(tokens)
+	defer func() {
+		u.PrefillTokens.Add(-tokens)
+		m.res.steps.prefill += time.Since(began)
+	}()
+	to := u.Facts()
+	m.res.steps.prefillAt = to.ID
+	r := m.g.send(ctx, m.call, u, Send{Purpose: Prefill, To: to, Left: m.call.Left(began)}, engineMaxIdle)
+	if r.err != nil {
+		m.g.observe(ctx, u, r)
+		return nil, errors.Wrap(r.err, "prefill")
+	}
+	if r.verdict != Answered || r.resp.Status != http.StatusOK {
+		_ = r.resp.Body.Close()
+		m.g.observe(ctx, u, r)
+		return nil, errors.Errorf("prefill refused with status %d", r.resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.resp.Body, prefillAnswerBytes))
+	_ = r.resp.Body.Close()
+	if err != nil {
+		return nil, errors.Wrap(err, "read prefill answer")
+	}
+	handle, err := m.g.Engines.ReadPrefill(body)
+	if err != nil {
+		u.Failed()
+		return nil, err
+	}
+	u.Succeeded(time.Since(began))
+	return &prefillResult{engine: u, handle: handle}, nil
+}
+
+func (m *modelRun) free(p *prefillResult) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := m.g.Engines.FreePrefill(ctx, p.engine, p.handle); err != nil {
+			m.g.Logger.Info("prefill result not freed; it lapses by itself", "request", m.call.ID,
+				"upstream", p.engine.Facts().ID, "err", err)
+		}
+	}()
+}
+
+// decode sends the request to the engine of the reservation and relays its stream.
+func (m *modelRun) decode(ctx context.Context, hold Reservation, p *prefillResult) (retry bool, err error) {
+	u := hold.Engine
+	u.InFlight.Add(1)
+	defer u.InFlight.Add(-1)
+	began := time.Now()
+	m.res.attempts++
+	to := u.Facts()
+	m.res.upstream = to.ID
+	r := m.g.send(ctx, m.call, u, Send{
+		Purpose:     Run,
+		To:          to,
+		Left:        m.call.Left(began),
+		Reservation: hold.ID,
+		Source:      &KVSource{Address: p.engine.Facts().Address, Handle: p.handle},
+		ResumeAfter: m.call.ResumeAfter,
+	}, engineMaxIdle)
+	if r.err != nil {
+		m.g.observe(ctx, u, r)
+		m.free(p)
+		if !r.mayHaveRun {
+			m.release(hold)
+		}
+		return !r.mayHaveRun, errors.Wrap(r.err, "decode")
+	}
+	if r.verdict != Answered {
+		m.release(hold)
+		m.free(p)
+		return true, errors.Errorf("decode refused with status %d", r.resp.Status)
+	}
+	defer func() { _ = r.resp.Body.Close() }()
+	m.res.status = r.resp.Status
+	m.relay = newStreamRelay(m.w)
+	m.g.writeHead(m.w, r.resp)
+	m.w.WriteHeader(r.resp.Status)
+	err = m.relay.copy(r.resp.Body)
+	m.res.first, m.res.steps.events = m.relay.first, m.relay.events
+	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, errClientGone) {
+			u.Failed()
+		}
+		return false, err
+	}
+	u.Succeeded(m.relay.firstDelay(began))
+	return false, nil
+}
+
+// streamRelay passes the events of a stream on, each as a whole.
+type streamRelay struct {
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	pending []byte
+	first   time.Time
+	events  int
+	lastID  string
+}
+
+func newStreamRelay(w http.ResponseWriter) *streamRelay {
+	return &streamRelay{w: w, flush: http.NewResponseController(w)}
+}
+
+func (s *streamRelay) firstDelay(began time.Time) time.Duration {
+	if s.first.IsZero() {
+		return 0
+	}
+	return s.first.Sub(began)
+}
+
+// relayBytes is the read buffer of a relayed stream.
+const relayBytes = 4 << 10
+
+var eventEnd = []byte("\n\n")
+
+// copy relays until the stream ends. A nil error means a complete answer.
+func (s *streamRelay) copy(body io.Reader) error {
+	var buf [relayBytes]byte
+	for {
+		n, err := body.Read(buf[:])
+		s.pending = append(s.pending, buf[:n]...)
+		if writeErr := s.pass(err == io.EOF); writeErr != nil {
+			return errors.Wrap(errClientGone, writeErr.Error())
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read stream")
+		}
+	}
+}
+
+// pass writes the whole events that have arrived, and at the end of a complete
+// answer whatever is left.
+func (s *streamRelay) pass(all bool) error {
+	end := len(s.pending)
+	if !all {
+		end = bytes.LastIndex(s.pending, eventEnd)
+		if end < 0 {
+			return nil
+		}
+		end += len(eventEnd)
+	}
+	if end == 0 {
+		return nil
+	}
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	s.events += bytes.Count(s.pending[:end], eventEnd)
+	if _, err := s.w.Write(s.pending[:end]); err != nil {
+		return err
+	}
+	s.pending = append(s.pending[:0], s.pending[end:]...)
+	return s.flush.Flush()
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,350 @@
+// Package mirror keeps a local copy of a revisioned key-value store.
+//
+// A Mirror reads everything once and then follows changes. When the history
+// that it needs is gone, or a watch was cut, it reads everything again. While
+// the store is away the copy stays in force: a store that is down must not stop
+// the work of those who read it.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrCompacted is returned by Store.Watch when the history after the given
+// revision is no longer available.
+var ErrCompacted = errors.New("history of the store no longer available")
+
+// Item is one key and its value.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Event is a change of one key.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Page is a part of a listing.
+type Page struct {
+	Items []Item
+	More  bool
+	// Revision is the store's revision at the time of the reading.
+	Revision uint64
+}
+
+// Store is the part of a key-value store that a mirror needs.
+type Store interface {
+	// List returns the items under the prefix whose keys come after the given one.
+	List(ctx context.Context, prefix, after string) (Page, error)
+	// Watch returns the changes under the prefix after a revision as soon as there
+	// are any, or none when the wait is over, and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+}
+
+// Entry is an item as the mirror shows it.
+type Entry struct {
+	Item
+	// Lapsed tells that the store no longer has the item, but may only have lost
+	// it during an outage; the entry is kept until its owner had time to return.
+	Lapsed bool
+}
+
+// View is the content of the store at one revision, as far as the mirror knows.
+type View struct {
+	Entries  map[string]Entry
+	Revision uint64
+	// Changed are the keys that differ from the view before.
+	Changed []string
+}
+
+const (
+	// watchWait is how long the store may block a watch. A connection that went
+	// silent is found after watchWait + callTimeout.
+	watchWait = 1500 * time.Millisecond
+	// callTimeout bounds a call beyond the time that the store may block it.
+	callTimeout = 700 * time.Millisecond
+	// slowCallTimeout bounds calls after one timed out: a slow store still answers.
+	slowCallTimeout = 3 * time.Second
+	// firstPause and maxPause bound the pause after a failed call.
+	firstPause = 60 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+	// lapseGrace is how long an item that vanished around an outage is kept after
+	// the store's return: owners that live write it again within that time.
+	lapseGrace = 2200 * time.Millisecond
+	// settleTime is how long after an outage vanished items count as lapsed by it.
+	settleTime = 1500 * time.Millisecond
+)
+
+// Options configure a mirror.
+type Options struct {
+	Store Store
+	// Prefixes are listed one after the other; WatchPrefix covers them all.
+	Prefixes    []string
+	WatchPrefix string
+	// Lapses reports whether a key is bound to the life of its owner and may
+	// vanish in an outage of the store.
+	Lapses func(key string) bool
+	// Apply is called with each new view, by one goroutine.
+	Apply func(View)
+	// Contact is called when the store is lost or regained.
+	Contact func(lost bool, err error)
+	// MinInterval is the shortest time between two watches; changes that come
+	// in quick succession are then read together.
+	MinInterval time.Duration
+}
+
+// Mirror follows a store.
+type Mirror struct {
+	o       Options
+	entries map[string]Entry
+	// lapseEnd is when each lapsed entry is dropped.
+	lapseEnd map[string]time.Time
+	revision uint64
+	listed   bool
+	lost     bool
+	slow     bool
+	pause    time.Duration
+	// regained is when the store was reached again after an outage.
+	regained time.Time
+
+	mu       sync.Mutex
+	lastSeen time.Time
+}
+
+// New returns a mirror that has read nothing yet.
+func New(o Options) *Mirror {
+	return &Mirror{o: o, entries: make(map[string]Entry), lapseEnd: make(map[string]time.Time)}
+}
+
+// LastSeen returns when the store last answered.
+func (m *Mirror) LastSeen() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastSeen
+}
+
+// Run follows the store until the context ends.
+func (m *Mirror) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := m.step(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		m.dropLapsed(time.Now())
+		if err != nil {
+			m.failed(ctx, err)
+			continue
+		}
+		if rest := m.o.MinInterval - time.Since(began); rest > 0 {
+			sleep(ctx, rest)
+		}
+	}
+	return nil
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	if !m.listed {
+		return m.list(ctx)
+	}
+	return m.watch(ctx)
+}
+
+func (m *Mirror) timeout() time.Duration {
+	if m.slow {
+		return slowCallTimeout
+	}
+	return callTimeout
+}
+
+// answered notes that the store is reached.
+func (m *Mirror) answered(now time.Time) {
+	m.mu.Lock()
+	m.lastSeen = now
+	m.mu.Unlock()
+	m.pause, m.slow = 0, false
+	if m.lost {
+		m.lost = false
+		m.regained = now
+		m.o.Contact(false, nil)
+	}
+}
+
+func (m *Mirror) failed(ctx context.Context, err error) {
+	if errors.Is(err, ErrCompacted) {
+		m.listed = false
+		return
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		m.slow = true
+	}
+	if !m.lost {
+		m.lost = true
+		m.o.Contact(true, err)
+	}
+	m.pause = min(maxPause, max(firstPause, m.pause*2))
+	sleep(ctx, m.pause)
+}
+
+func (m *Mirror) list(ctx context.Context) error {
+	found := make(map[string]Item)
+	var revision uint64
+	for _, prefix := range m.o.Prefixes {
+		after := ""
+		for {
+			page, err := m.listPage(ctx, prefix, after)
+			if err != nil {
+				return err
+			}
+			// Pages are not one snapshot: watching from the oldest reading sees
+			// again whatever changed between them.
+			if revision == 0 {
+				revision = page.Revision
+			}
+			for _, item := range page.Items {
+				found[item.Key] = item
+				after = item.Key
+			}
+			if !page.More || len(page.Items) == 0 {
+				break
+			}
+		}
+	}
+	m.answered(time.Now())
+	m.listed = true
+	m.replaceAll(found, revision)
+	return nil
+}
+
+func (m *Mirror) listPage(ctx context.Context, prefix, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.timeout())
+	defer cancel()
+	return m.o.Store.List(ctx, prefix, after)
+}
+
+func (m *Mirror) watch(ctx context.Context) error {
+	wait := watchWait
+	// A lapsed entry is dropped in time although nothing changes.
+	if len(m.lapseEnd) > 0 {
+		wait = min(wait, settleTime/4)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+m.timeout())
+	defer cancel()
+	events, revision, err := m.o.Store.Watch(callCtx, m.o.WatchPrefix, m.revision, wait)
+	if err != nil {
+		if !errors.Is(err, ErrCompacted) {
+			// A cut watch may have missed changes that the store drops before the
+			// next one; a new listing is certain.
+			m.listed = false
+		}
+		return err
+	}
+	m.answered(time.Now())
+	m.applyEvents(events, revision)
+	return nil
+}
+
+func (m *Mirror) replaceAll(found map[string]Item, revision uint64) {
+	now := time.Now()
+	var changed []string
+	for k, item := range found {
+		old, ok := m.entries[k]
+		if ok && old.Revision >= item.Revision && !old.Lapsed {
+			continue
+		}
+		m.put(item)
+		changed = append(changed, k)
+	}
+	for k, old := range m.entries {
+		if _, ok := found[k]; !ok && !old.Lapsed && m.remove(k, now) {
+			changed = append(changed, k)
+		}
+	}
+	m.revision = max(m.revision, revision)
+	m.publish(changed)
+}
+
+func (m *Mirror) applyEvents(events []Event, revision uint64) {
+	now := time.Now()
+	var changed []string
+	for _, e := range events {
+		old, ok := m.entries[e.Key]
+		if ok && old.Revision >= e.Revision && !(old.Lapsed && !e.Deleted) {
+			continue
+		}
+		switch {
+		case !e.Deleted:
+			m.put(e.Item)
+			changed = append(changed, e.Key)
+		case ok && !old.Lapsed && m.remove(e.Key, now):
+			changed = append(changed, e.Key)
+		}
+	}
+	m.revision = max(m.revision, revision)
+	m.publish(changed)
+}
+
+func (m *Mirror) put(item Item) {
+	m.entries[item.Key] = Entry{Item: item}
+	delete(m.lapseEnd, item.Key)
+}
+
+// remove drops an entry, or marks it as lapsed if an outage may be the reason.
+// It reports whether the view changed.
+func (m *Mirror) remove(k string, now time.Time) bool {
+	e := m.entries[k]
+	if m.o.Lapses != nil && m.o.Lapses(k) && !m.regained.IsZero() && now.Sub(m.regained) < settleTime {
+		e.Lapsed = true
+		m.entries[k] = e
+		m.lapseEnd[k] = m.regained.Add(lapseGrace)
+		return true
+	}
+	delete(m.entries, k)
+	delete(m.lapseEnd, k)
+	return true
+}
+
+func (m *Mirror) dropLapsed(now time.Time) {
+	// While the store is away nobody can write an entry again.
+	if m.lost {
+		return
+	}
+	var changed []string
+	for k, end := range m.lapseEnd {
+		if now.After(end) {
+			delete(m.lapseEnd, k)
+			delete(m.entries, k)
+			changed = append(changed, k)
+		}
+	}
+	if len(changed) > 0 {
+		m.publish(changed)
+	}
+}
+
+func (m *Mirror) publish(changed []string) {
+	if len(changed) == 0 {
+		return
+	}
+	view := View{Entries: make(map[string]Entry, len(m.entries)), Revision: m.revision, Changed: changed}
+	for k, e := range m.entries {
+		view.Entries[k] = e
+	}
+	m.o.Apply(view)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
