Place model requests by a forecast of memory that gateways share

Cause: a reservation of prompt plus longest output leaves a third of the decode memory unused; smaller ones overfill. Each gateway now tells the others over UDP what it runs where, the forecast adds up what each run needs while it lasts, and one queue a gateway serves those first that can still meet their target.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
 	"github.com/fescueslip/fescueslip/internal/mirror"
+	"github.com/fescueslip/fescueslip/internal/presence"
 	"github.com/fescueslip/fescueslip/internal/routing"
 	"github.com/fescueslip/fescueslip/internal/settings"
 )
@@ -29,9 +30,10 @@
 // Adapter is what a deployment's platform gives to a gateway: its store, the
 // meaning of what lies there, and the messages of its clients and upstreams.
 type Adapter struct {
-	Store   mirror.Store
-	Wire    gateway.Wire
-	Engines gateway.Engines
+	Store    mirror.Store
+	Presence presence.Store
+	Wire     gateway.Wire
+	Engines  gateway.Engines
 	// ConfigurationKey is the key of the routing table; it stands under
 	// ConfigurationPrefix.
 	ConfigurationKey    string
@@ -52,6 +54,7 @@
 	Logger       *log.Logger
 
 	ClientListener, ReadyListener, AdminListener net.Listener
+	PeerConn                                     net.PacketConn
 }
 
 // GatewayOptions returns the fx options of a gateway process.
@@ -70,8 +73,9 @@
 			newGateway,
 			newBackground,
 			newTopology,
+			newGatewayList,
 		),
-		fx.Invoke(serveReady, serveGatewayAdmin, followStore, watchSettings, serveClients),
+		fx.Invoke(serveReady, serveGatewayAdmin, followStore, joinGateways, watchSettings, serveClients),
 	)
 }
 
@@ -89,7 +93,7 @@
 // ready reports whether requests can be served.
 func (t *topology) ready() bool { return t.tables.Table() != nil && t.listed.Load() }
 
-func newGateway(p GatewayProcess, tables *routing.Holder, f *fleet.Fleet, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(p GatewayProcess, gateways *gatewayList, tables *routing.Holder, f *fleet.Fleet, m *gateway.Metrics) *gateway.Gateway {
 	s := p.Settings
 	return gateway.New(gateway.Options{
 		Instance:      s.Instance,
@@ -100,23 +104,22 @@
 		Tables:        tables,
 		Fleet:         f,
 		Retries:       gateway.RetryLimits{Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack},
-		Gateways:      func() int { return assumedGateways },
+		Gateways:      gateways.count,
 		Logger:        p.Logger,
 		Metrics:       m,
 	})
 }
 
-// assumedGateways is the number of gateways until the others are known.
-const assumedGateways = 6
-
 // followStore keeps the routing table and the fleet as the store has them.
-func followStore(p GatewayProcess, t *topology, b *background, lc fx.Lifecycle) {
-	f := &storeFollower{adapter: p.Adapter, topology: t, log: p.Logger, configRevision: 0}
+func followStore(p GatewayProcess, t *topology, gateways *gatewayList, b *background, lc fx.Lifecycle) {
+	f := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, log: p.Logger}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
-		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix},
+		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix},
 		WatchPrefix: "",
-		Lapses:      func(key string) bool { return strings.HasPrefix(key, p.Adapter.InstancesPrefix) },
+		Lapses: func(key string) bool {
+			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
+		},
 		Apply:       f.apply,
 		Contact:     f.contact,
 		MinInterval: storeReadInterval,
@@ -131,6 +134,7 @@
 type storeFollower struct {
 	adapter        Adapter
 	topology       *topology
+	gateways       *gatewayList
 	log            *log.Logger
 	configRevision uint64
 	// faulty are the entries that could not be read, to log each only once.
@@ -156,6 +160,7 @@
 func (f *storeFollower) apply(v mirror.View) {
 	f.applyConfiguration(v)
 	f.applyInstances(v)
+	f.gateways.apply(v, f.log)
 	f.topology.listed.Store(true)
 }
 
--- /dev/null
+++ b/internal/app/gateways.go
@@ -0,0 +1,101 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/gossip"
+	"github.com/fescueslip/fescueslip/internal/mirror"
+	"github.com/fescueslip/fescueslip/internal/presence"
+)
+
+// gatewaysPrefix holds a key for each live gateway of the deployment.
+const gatewaysPrefix = "fescueslip/gateways/"
+
+// assumedGateways is the number of gateways while the list is unknown.
+const assumedGateways = 6
+
+// gatewayEntry is what a gateway writes of itself into the store.
+type gatewayEntry struct {
+	// Peer is the IP:port at which it hears the others.
+	Peer string `json:"peer"`
+}
+
+// gatewayList is the list of the deployment's gateways as the store has it.
+type gatewayList struct {
+	own   string
+	peers atomic.Pointer[map[string]string]
+}
+
+func newGatewayList(p GatewayProcess) *gatewayList { return &gatewayList{own: p.Settings.Instance} }
+
+// count returns the number of gateways, this one included.
+func (l *gatewayList) count() int {
+	peers := l.peers.Load()
+	if peers == nil {
+		return assumedGateways
+	}
+	return len(*peers) + 1
+}
+
+// others returns the addresses of the other gateways by name.
+func (l *gatewayList) others() map[string]string {
+	if peers := l.peers.Load(); peers != nil {
+		return *peers
+	}
+	return nil
+}
+
+func (l *gatewayList) apply(v mirror.View, logger *log.Logger) {
+	next := make(map[string]string)
+	for key, e := range v.Entries {
+		name, ok := strings.CutPrefix(key, gatewaysPrefix)
+		if !ok || name == l.own {
+			continue
+		}
+		var entry gatewayEntry
+		if err := json.Unmarshal(e.Value, &entry); err != nil {
+			logger.Warn("entry of the gateway list ignored", "key", key, "err", err)
+			continue
+		}
+		if _, err := netip.ParseAddrPort(entry.Peer); err != nil {
+			logger.Warn("entry of the gateway list ignored", "key", key, "field", "peer", "err", err)
+			continue
+		}
+		next[name] = entry.Peer
+	}
+	l.peers.Store(&next)
+}
+
+// joinGateways puts this gateway on the list and exchanges loads with the others.
+func joinGateways(p GatewayProcess, l *gatewayList, g *gateway.Gateway, b *background, lc fx.Lifecycle) error {
+	value, err := json.Marshal(gatewayEntry{Peer: p.Settings.Listen.Peer})
+	if err != nil {
+		return err
+	}
+	keeper := &presence.Keeper{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Logger: p.Logger}
+	node := gossip.New(gossip.Options{
+		Name:        p.Settings.Instance,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Conn:        p.PeerConn,
+		Peers:       l.others,
+		State:       g.PeerState,
+		Hear:        g.Hear,
+		Logger:      p.Logger,
+	})
+	g.OnChange(node.Announce)
+	lc.Append(fx.StartHook(func() {
+		b.run("presence", keeper.Run)
+		b.run("gossip", node.Run)
+		b.run("scheduler", func(ctx context.Context) error { return g.Run(ctx) })
+	}))
+	return nil
+}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -108,7 +108,10 @@
 	if p.ReadyListener, err = net.Listen("tcp", s.Listen.Ready); err != nil {
 		return p, err
 	}
-	p.AdminListener, err = net.Listen("tcp", s.Listen.Admin)
+	if p.AdminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
+		return p, err
+	}
+	p.PeerConn, err = net.ListenPacket("udp", s.Listen.Peer)
 	return p, err
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -39,6 +39,9 @@
 	Model   ModelDemand
 	// ResumeAfter is the id of the last event that the client already has.
 	ResumeAfter string
+	// Age is how long the client has asked for this already, in earlier attempts;
+	// 0 for a first one.
+	Age time.Duration
 }
 
 // Left returns how much of the call's time is left.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,14 +41,17 @@
 	leavingSince atomic.Int64
 	inFlight     atomic.Int64
 	bodyBytes    atomic.Int64
-	// reserveTurn orders the requests that wait for an engine's memory.
-	queue *decodeQueue
+	scheduler    *scheduler
+	ages         *ages
+	// announcer tells the other gateways of a change; nil: there is nobody to tell.
+	announcer func()
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	g := &Gateway{Options: o, budget: NewBudget(o.Retries, o.Gateways)}
-	g.queue = newDecodeQueue()
+	g.scheduler = newScheduler(g)
+	g.ages = newAges()
 	return g
 }
 
@@ -102,7 +105,7 @@
 	g.Metrics.began(call)
 	var res outcome
 	switch {
-	case call.Route.Model:
+	case call.Route.Model && call.Service.Engine != nil:
 		res = g.serveModel(ctx, w, call)
 	default:
 		res = g.servePlain(ctx, w, call)
@@ -127,12 +130,11 @@
 
 // steps are the times that the parts of a model request took.
 type steps struct {
-	prefillAt            string
-	reserve, prefill     time.Duration
-	tries                int
-	events, resumes      int
-	reservationTokens    int
-	expectedOutputTokens int
+	prefillAt        string
+	reserve, prefill time.Duration
+	tries            int
+	events           int
+	medianOutput     int
 }
 
 // accept reads the request and matches its route.
@@ -160,6 +162,9 @@
 		return call, refuseNoUpstream(name)
 	}
 	call.Deadline = deadline(call)
+	if route.Model {
+		call.Age = g.ages.observe(route.Name, call.Patience)
+	}
 	if err := g.readBody(w, r, call, table.Limits); err != nil {
 		return call, err
 	}
@@ -317,7 +322,7 @@
 		fields = append(fields, "prefill_at", s.prefillAt, "reserve_ms", s.reserve.Milliseconds(),
 			"prefill_ms", s.prefill.Milliseconds(), "reserve_tries", s.tries, "events", s.events,
 			"prompt_tokens", c.Model.PromptTokens, "max_output_tokens", c.Model.MaxOutputTokens,
-			"expected_output_tokens", c.Model.ExpectedOutputTokens, "reserved_tokens", s.reservationTokens)
+			"expected_output_tokens", c.Model.ExpectedOutputTokens, "median_output_tokens", s.medianOutput, "age_ms", c.Age.Milliseconds())
 	}
 	message := "request answered"
 	if res.err != nil {
--- /dev/null
+++ b/internal/gateway/load.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+)
+
+// RunState is one model request at a decode engine, as gateways tell it to
+// each other.
+type RunState struct {
+	Prompt, MedianOutput, MaxOutput int
+	// Began is when the output began, or is expected to begin.
+	Began time.Time
+}
+
+// EngineState is the load that one gateway put on an engine.
+type EngineState struct {
+	// ID and Incarnation name the engine.
+	ID          string
+	Incarnation int64
+	// PrefillTokens are the prompt tokens sent for prefill and not read yet.
+	PrefillTokens int64
+	Runs          []RunState
+}
+
+// PeerState is what one gateway tells the others.
+type PeerState struct {
+	// Waiting counts the requests that wait for memory and can still meet their
+	// latency target.
+	Waiting int
+	// WaitingLate counts those that cannot.
+	WaitingLate int
+	Engines     []EngineState
+}
+
+// localRun is a request of this gateway at a decode engine.
+type localRun struct {
+	state RunState
+}
+
+// engineLoad is the load of one engine as far as this gateway knows.
+type engineLoad struct {
+	local map[*localRun]struct{}
+	// remote is the load that each peer told last.
+	remote map[string]EngineState
+
+	curve     forecast.Curve
+	runs      int
+	computed  time.Time
+	stale     bool
+	tokenRate float64
+}
+
+// loadTable keeps the load of all engines: this gateway's own requests and what
+// the others told. It is safe for concurrent use.
+type loadTable struct {
+	mu      sync.Mutex
+	engines map[engineKey]*engineLoad
+	peers   map[string]*peerLoad
+	lengths map[string]*forecast.Lengths
+}
+
+type engineKey struct {
+	id          string
+	incarnation int64
+}
+
+type peerLoad struct {
+	heard                time.Time
+	waiting, waitingLate int
+}
+
+const (
+	// peerSilence is how long the load that a peer told counts after its last word.
+	peerSilence = 1500 * time.Millisecond
+	// curveAge is how long a computed curve is used.
+	curveAge = 40 * time.Millisecond
+	// defaultTokenRate is assumed for an engine that has not generated yet, in tokens/s.
+	defaultTokenRate = 1100
+)
+
+func newLoadTable() *loadTable {
+	return &loadTable{
+		engines: make(map[engineKey]*engineLoad),
+		peers:   make(map[string]*peerLoad),
+		lengths: make(map[string]*forecast.Lengths),
+	}
+}
+
+func keyOf(u *fleet.Upstream) engineKey {
+	f := u.Facts()
+	return engineKey{id: f.ID, incarnation: f.Incarnation}
+}
+
+// engine returns the load of an engine; the lock is held.
+func (t *loadTable) engine(k engineKey) *engineLoad {
+	e, ok := t.engines[k]
+	if !ok {
+		e = &engineLoad{local: make(map[*localRun]struct{}), remote: make(map[string]EngineState), tokenRate: defaultTokenRate}
+		t.engines[k] = e
+	}
+	return e
+}
+
+// begin notes a request that was placed on the engine.
+func (t *loadTable) begin(u *fleet.Upstream, s RunState) *localRun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &localRun{state: s}
+	e := t.engine(keyOf(u))
+	e.local[r] = struct{}{}
+	e.stale = true
+	return r
+}
+
+// started notes when the output of a request began.
+func (t *loadTable) started(u *fleet.Upstream, r *localRun, began time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.state.Began = began
+	t.engine(keyOf(u)).stale = true
+}
+
+// end notes that a request has left the engine.
+func (t *loadTable) end(u *fleet.Upstream, r *localRun) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.engine(keyOf(u))
+	delete(e.local, r)
+	e.stale = true
+}
+
+// rateDecay is the weight of one finished request in an engine's token rate.
+const rateDecay = 0.3
+
+// finished learns from a request that ran to its end.
+func (t *loadTable) finished(u *fleet.Upstream, route string, output, longest float64, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lengthsOf(route).Observe(output, longest)
+	if output > 0 && took > 0 {
+		e := t.engine(keyOf(u))
+		e.tokenRate += (output/took.Seconds() - e.tokenRate) * rateDecay
+	}
+}
+
+func (t *loadTable) lengthsOf(route string) *forecast.Lengths {
+	l, ok := t.lengths[route]
+	if !ok {
+		l = &forecast.Lengths{}
+		t.lengths[route] = l
+	}
+	return l
+}
+
+// median predicts the output of a request, in tokens.
+func (t *loadTable) median(route string, d ModelDemand) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lengthsOf(route).Median(float64(d.ExpectedOutputTokens), float64(d.MaxOutputTokens))
+}
+
+// hear takes what a peer told of its load.
+func (t *loadTable) hear(peer string, s PeerState, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[peer] = &peerLoad{heard: now, waiting: s.Waiting, waitingLate: s.WaitingLate}
+	named := make(map[engineKey]bool, len(s.Engines))
+	for _, es := range s.Engines {
+		k := engineKey{id: es.ID, incarnation: es.Incarnation}
+		named[k] = true
+		e := t.engine(k)
+		e.remote[peer] = es
+		e.stale = true
+	}
+	for k, e := range t.engines {
+		if _, ok := e.remote[peer]; ok && !named[k] {
+			delete(e.remote, peer)
+			e.stale = true
+		}
+	}
+}
+
+// forget drops the load of peers that fell silent and of engines that are gone.
+func (t *loadTable) forget(now time.Time, known func(engineKey) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, p := range t.peers {
+		if now.Sub(p.heard) <= peerSilence {
+			continue
+		}
+		delete(t.peers, name)
+		for _, e := range t.engines {
+			if _, ok := e.remote[name]; ok {
+				delete(e.remote, name)
+				e.stale = true
+			}
+		}
+	}
+	for k, e := range t.engines {
+		if len(e.local) == 0 && !known(k) {
+			delete(t.engines, k)
+		}
+	}
+}
+
+// othersWaiting sums the requests that wait at the peers.
+func (t *loadTable) othersWaiting() (onTime, late int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		onTime += p.waiting
+		late += p.waitingLate
+	}
+	return onTime, late
+}
+
+// heardPeers returns how many other gateways were heard lately.
+func (t *loadTable) heardPeers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers)
+}
+
+// prefillTokens returns the prompt tokens that other gateways have sent to the engine.
+func (t *loadTable) prefillTokens(u *fleet.Upstream) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum int64
+	for _, es := range t.engine(keyOf(u)).remote {
+		sum += es.PrefillTokens
+	}
+	return sum
+}
+
+// outlook returns the forecast of an engine's memory and its number of requests.
+func (t *loadTable) outlook(u *fleet.Upstream, now time.Time) (forecast.Curve, int, float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.engine(keyOf(u))
+	if e.stale || now.Sub(e.computed) > curveAge {
+		e.compute(now)
+	}
+	return e.curve, e.runs, e.tokenRate
+}
+
+func (e *engineLoad) compute(now time.Time) {
+	e.curve, e.runs = forecast.Curve{}, 0
+	for r := range e.local {
+		e.add(r.state, now)
+	}
+	for _, es := range e.remote {
+		for _, r := range es.Runs {
+			e.add(r, now)
+		}
+	}
+	e.computed, e.stale = now, false
+}
+
+func (e *engineLoad) add(r RunState, now time.Time) {
+	e.runs++
+	e.curve.Add(forecast.Run{
+		Prompt:       float64(r.Prompt),
+		MedianOutput: float64(r.MedianOutput),
+		MaxOutput:    float64(r.MaxOutput),
+		Age:          now.Sub(r.Began).Seconds(),
+	}, e.tokenRate)
+}
+
+// state returns what this gateway tells the others.
+func (t *loadTable) state(upstreams []*fleet.Upstream) []EngineState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []EngineState
+	for _, u := range upstreams {
+		k := keyOf(u)
+		e, ok := t.engines[k]
+		prefill := u.PrefillTokens.Load()
+		if prefill == 0 && (!ok || len(e.local) == 0) {
+			continue
+		}
+		es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: prefill}
+		if ok {
+			for r := range e.local {
+				es.Runs = append(es.Runs, r.state)
+			}
+		}
+		out = append(out, es)
+	}
+	return out
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -83,26 +83,28 @@
 // attempt runs the steps once. retry tells that the request has certainly not run.
 func (m *modelRun) attempt(ctx context.Context) (retry bool, err error) {
 	began := time.Now()
-	hold, err := m.g.reserve(ctx, m)
+	place, err := m.g.scheduler.reserve(ctx, m)
 	m.res.steps.reserve += time.Since(began)
 	if err != nil {
 		return true, err
 	}
-	m.res.steps.reservationTokens = hold.Tokens
+	defer m.g.scheduler.ended(place)
+	m.res.steps.medianOutput = place.run.state.MedianOutput
 	source, err := m.prefill(ctx)
 	if err != nil {
-		m.release(hold)
+		m.g.releaseHold(place.hold, m.call.ID)
 		return true, err
 	}
-	return m.decode(ctx, hold, source)
+	return m.decode(ctx, place, source)
 }
 
-func (m *modelRun) release(hold Reservation) {
+// releaseHold gives an unused reservation back in the background.
+func (g *Gateway) releaseHold(hold Reservation, request string) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		if err := m.g.Engines.Release(ctx, hold); err != nil {
-			m.g.Logger.Info("reservation not released; it ends with its lease", "request", m.call.ID,
+		if err := g.Engines.Release(ctx, hold); err != nil {
+			g.Logger.Info("reservation not released; it ends with its lease", "request", request,
 				"upstream", hold.Engine.Facts().ID, "err", err)
 		}
 	}()
@@ -115,7 +117,7 @@
 }
 
 func (m *modelRun) prefill(ctx context.Context) (*prefillResult, error) {
-	u := m.g.choosePrefill(m.call, nil)
+	u := m.g.choosePrefill(m.call)
 	if u == nil {
 		return nil, refuseNoUpstream(m.call.Service.Name)
 	}
@@ -164,7 +166,8 @@
 }
 
 // decode sends the request to the engine of the reservation and relays its stream.
-func (m *modelRun) decode(ctx context.Context, hold Reservation, p *prefillResult) (retry bool, err error) {
+func (m *modelRun) decode(ctx context.Context, place grant, p *prefillResult) (retry bool, err error) {
+	hold := place.hold
 	u := hold.Engine
 	u.InFlight.Add(1)
 	defer u.InFlight.Add(-1)
@@ -184,12 +187,12 @@
 		m.g.observe(ctx, u, r)
 		m.free(p)
 		if !r.mayHaveRun {
-			m.release(hold)
+			m.g.releaseHold(hold, m.call.ID)
 		}
 		return !r.mayHaveRun, errors.Wrap(r.err, "decode")
 	}
 	if r.verdict != Answered {
-		m.release(hold)
+		m.g.releaseHold(hold, m.call.ID)
 		m.free(p)
 		return true, errors.Errorf("decode refused with status %d", r.resp.Status)
 	}
@@ -198,6 +201,7 @@
 	m.relay = newStreamRelay(m.w)
 	m.g.writeHead(m.w, r.resp)
 	m.w.WriteHeader(r.resp.Status)
+	m.g.scheduler.load.started(u, place.run, time.Now())
 	err = m.relay.copy(r.resp.Body)
 	m.res.first, m.res.steps.events = m.relay.first, m.relay.events
 	if err != nil {
@@ -207,6 +211,10 @@
 		return false, err
 	}
 	u.Succeeded(m.relay.firstDelay(began))
+	if per := m.call.Service.Engine.TokensPerEvent; per > 0 && r.resp.Status == http.StatusOK {
+		m.g.scheduler.load.finished(u, m.call.Route.Name, float64(m.relay.events*per),
+			float64(m.call.Model.MaxOutputTokens), time.Since(m.relay.first))
+	}
 	return false, nil
 }
 
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// Run places waiting requests until the context ends.
+func (g *Gateway) Run(ctx context.Context) error { return g.scheduler.run(ctx) }
+
+// OnChange registers what is called, without delay, when the load of this
+// gateway has changed in a way that the others should know.
+func (g *Gateway) OnChange(announce func()) { g.announcer = announce }
+
+func (g *Gateway) announce() {
+	if g.announcer != nil {
+		g.announcer()
+	}
+}
+
+// PeerState returns what the other gateways should know of this one.
+func (g *Gateway) PeerState(now time.Time) PeerState {
+	onTime, late := g.scheduler.counts(now)
+	return PeerState{
+		Waiting:     onTime,
+		WaitingLate: late,
+		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All()),
+	}
+}
+
+// Hear takes what another gateway told of its load.
+func (g *Gateway) Hear(peer string, s PeerState, now time.Time) {
+	g.scheduler.load.hear(peer, s, now)
+	g.scheduler.kick()
+}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -1,121 +1,72 @@
 package gateway
 
 import (
-	"context"
 	"math/rand/v2"
-	"slices"
+	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/fescueslip/fescueslip/internal/fleet"
 )
 
+// ages estimates how long clients have asked already. A client that comes back
+// after a refusal says that it waits for less time than at first.
+type ages struct {
+	mu sync.Mutex
+	// longest is the longest patience seen, by route.
+	longest map[string]time.Duration
+}
+
 const (
-	// reserveLife is the lease of a reservation: the wait for a prefill and the
-	// prefill itself.
-	reserveLife = 1500 * time.Millisecond
-	// reserveTimeout bounds one call that asks for a reservation.
-	reserveTimeout = 250 * time.Millisecond
-	// reservePoll is the pause between two rounds of asking all engines.
-	reservePoll = 40 * time.Millisecond
-	// reservePatience is how long a request waits for a slot and memory.
-	reservePatience = 600 * time.Millisecond
+	// returnedShare is the share of the longest patience under which a client
+	// has come back; above it, the difference may be the client's own choice.
+	returnedShare = 0.8
+	// usualShare is the patience of a usual first attempt, as a share of the longest.
+	usualShare = 0.92
 )
 
-// decodeQueue orders the requests that wait for a decode engine.
-type decodeQueue struct {
-	turn chan struct{}
-}
+func newAges() *ages { return &ages{longest: make(map[string]time.Duration)} }
 
-func newDecodeQueue() *decodeQueue {
-	q := &decodeQueue{turn: make(chan struct{}, 1)}
-	q.turn <- struct{}{}
-	return q
-}
-
-// reserve takes a slot and memory at a decode engine.
-func (g *Gateway) reserve(ctx context.Context, m *modelRun) (Reservation, error) {
-	tokens := m.call.Model.PromptTokens + m.call.Model.MaxOutputTokens
-	until := time.Now().Add(reservePatience)
-	for {
-		for _, u := range g.decodeCandidates(m.call) {
-			m.res.steps.tries++
-			hold, err := g.tryReserve(ctx, u, tokens)
-			if err == nil {
-				return hold, nil
-			}
-			if ctx.Err() != nil {
-				return Reservation{}, context.Cause(ctx)
-			}
-			if errors.Is(err, ErrNoRoom) {
-				u.Full(time.Now(), fullPause)
-				continue
-			}
-			g.Logger.Info("reservation failed", "request", m.call.ID, "upstream", u.Facts().ID, "err", err)
-			u.Unreachable(time.Now(), unreachablePause)
-		}
-		if time.Now().After(until) {
-			return Reservation{}, refuseOverloaded(g.modelRetryAfter(), "no engine has a free slot and memory")
-		}
-		select {
-		case <-time.After(reservePoll):
-		case <-ctx.Done():
-			return Reservation{}, context.Cause(ctx)
-		}
+// observe returns the estimated age of a request; 0 for a first attempt.
+func (a *ages) observe(route string, patience time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	longest := max(a.longest[route], patience)
+	a.longest[route] = longest
+	if float64(patience) >= returnedShare*float64(longest) {
+		return 0
 	}
+	return time.Duration(usualShare*float64(longest)) - patience
 }
 
-func (g *Gateway) tryReserve(ctx context.Context, u *fleet.Upstream, tokens int) (Reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	return g.Engines.Reserve(ctx, u, tokens, reserveLife)
-}
-
-// decodeCandidates returns the decode engines, the least loaded first.
-func (g *Gateway) decodeCandidates(c *Call) []*fleet.Upstream {
-	now := time.Now()
-	var out []*fleet.Upstream
-	cost := make(map[*fleet.Upstream]float64)
-	for _, u := range g.Fleet.Snapshot().Service(c.Service.Name) {
-		if !u.Usable() || u.Facts().Role != fleet.RoleDecode {
-			continue
-		}
-		h := u.Health(now)
-		if h.Avoid {
-			continue
-		}
-		cost[u] = float64(u.InFlight.Load()) + 10*h.FailureShare + rand.Float64()
-		if h.Full {
-			cost[u] += 100
-		}
-		out = append(out, u)
-	}
-	slices.SortFunc(out, func(a, b *fleet.Upstream) int {
-		if cost[a] < cost[b] {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
+const (
+	// prefillFarTokens is what leaving the failure domain costs, in prompt tokens.
+	prefillFarTokens = 600
+	// prefillFailureTokens weighs the failures of an engine, in prompt tokens.
+	prefillFailureTokens = 30_000
+	// prefillAvoidTokens puts engines that did not answer behind all others.
+	prefillAvoidTokens = 1e7
+	// prefillJitterTokens spreads equal choices.
+	prefillJitterTokens = 300
+)
 
-// choosePrefill returns the prefill engine with the fewest prompt tokens ahead.
-func (g *Gateway) choosePrefill(c *Call, tried []*fleet.Upstream) *fleet.Upstream {
+// choosePrefill returns the prefill engine with the fewest prompt tokens ahead,
+// those of the other gateways included.
+func (g *Gateway) choosePrefill(c *Call) *fleet.Upstream {
 	now := time.Now()
 	var best *fleet.Upstream
 	var bestCost float64
 	for _, u := range g.Fleet.Snapshot().Service(c.Service.Name) {
-		if !u.Usable() || u.Facts().Role != fleet.RolePrefill || contains(tried, u) {
+		if !u.Usable() || u.Facts().Role != fleet.RolePrefill {
 			continue
 		}
 		h := u.Health(now)
-		cost := float64(u.PrefillTokens.Load()) + 20000*h.FailureShare + 500*rand.Float64()
+		cost := float64(u.PrefillTokens.Load()+g.scheduler.load.prefillTokens(u)) +
+			prefillFailureTokens*h.FailureShare + prefillJitterTokens*rand.Float64()
 		if u.Facts().FailureDomain != g.FailureDomain {
-			cost += 1000
+			cost += prefillFarTokens
 		}
 		if h.Avoid {
-			cost += 1e6
+			cost += prefillAvoidTokens
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
--- /dev/null
+++ b/internal/gossip/node.go
@@ -0,0 +1,212 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"github.com/fescueslip/fescueslip/internal/gateway"
+)
+
+const (
+	// refresh is how often the state is told although nothing changed.
+	refresh = 300 * time.Millisecond
+	// gather is how long a change waits for others before it is told.
+	gather = 4 * time.Millisecond
+	// maxDatagram is the largest message; a larger one is not sent.
+	maxDatagram = 32 << 10
+	// bytesPerSecond and burstBytes bound what one process sends to all others.
+	bytesPerSecond = 24 << 10
+	burstBytes     = 24 << 10
+	// heardLife is how long a peer that is missing on the list is told because
+	// it was heard.
+	heardLife = 3 * time.Second
+	// resetAfter is how long after its last word a peer may begin its sequence anew.
+	resetAfter = 2 * time.Second
+)
+
+// Options configure a node.
+type Options struct {
+	Name        string
+	Incarnation uint64
+	Conn        net.PacketConn
+	// Peers returns the addresses of the other gateways by name.
+	Peers func() map[string]string
+	State func(now time.Time) gateway.PeerState
+	Hear  func(peer string, s gateway.PeerState, now time.Time)
+	// Logger gets a line when a peer is heard for the first time or lost.
+	Logger *log.Logger
+}
+
+// Node exchanges the states of gateways over UDP.
+type Node struct {
+	o        Options
+	changed  chan struct{}
+	limiter  *rate.Limiter
+	sequence uint64
+	sent     atomic.Int64
+	faults   atomic.Int64
+
+	mu    sync.Mutex
+	heard map[string]*contact
+}
+
+// contact is what is known of a peer from its messages.
+type contact struct {
+	address               net.Addr
+	incarnation, sequence uint64
+	last                  time.Time
+}
+
+// New returns a node.
+func New(o Options) *Node {
+	return &Node{
+		o:       o,
+		changed: make(chan struct{}, 1),
+		limiter: rate.NewLimiter(bytesPerSecond, burstBytes),
+		heard:   make(map[string]*contact),
+	}
+}
+
+// Announce has the state told to the others soon.
+func (n *Node) Announce() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+// SentBytes returns how many bytes were sent in all.
+func (n *Node) SentBytes() int64 { return n.sent.Load() }
+
+// Faults returns how many datagrams were not understood or not sent.
+func (n *Node) Faults() int64 { return n.faults.Load() }
+
+// Heard returns how many peers were heard lately.
+func (n *Node) Heard() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.heard)
+}
+
+// Run sends and receives until the context ends.
+func (n *Node) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = n.o.Conn.Close() })
+	defer stop()
+	go n.receive(ctx)
+	tick := time.NewTicker(refresh)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.changed:
+			time.Sleep(gather)
+		case <-tick.C:
+			n.expire(time.Now())
+		}
+		n.tell(time.Now())
+	}
+}
+
+func (n *Node) tell(now time.Time) {
+	addresses := n.addresses(now)
+	if len(addresses) == 0 {
+		return
+	}
+	n.sequence++
+	m := message{sender: n.o.Name, incarnation: n.o.Incarnation, sequence: n.sequence, state: n.o.State(now)}
+	b := encode(m, now)
+	if len(b) > maxDatagram || !n.limiter.AllowN(now, len(b)*len(addresses)) {
+		n.faults.Add(1)
+		return
+	}
+	for _, a := range addresses {
+		if _, err := n.o.Conn.WriteTo(b, a); err != nil {
+			// A peer that cannot be reached is found by its silence.
+			n.faults.Add(1)
+			continue
+		}
+		n.sent.Add(int64(len(b)))
+	}
+}
+
+// addresses returns the peers on the list and those that were heard lately.
+func (n *Node) addresses(now time.Time) []net.Addr {
+	listed := n.o.Peers()
+	out := make([]net.Addr, 0, len(listed))
+	for _, address := range listed {
+		a, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			n.faults.Add(1)
+			continue
+		}
+		out = append(out, a)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, c := range n.heard {
+		if _, ok := listed[name]; !ok && now.Sub(c.last) < heardLife {
+			out = append(out, c.address)
+		}
+	}
+	return out
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, from, err := n.o.Conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.faults.Add(1)
+				time.Sleep(gather)
+			}
+			continue
+		}
+		now := time.Now()
+		m, err := decode(buf[:size], now)
+		if err != nil {
+			n.faults.Add(1)
+			continue
+		}
+		if m.sender != n.o.Name && n.newer(m, from, now) {
+			n.o.Hear(m.sender, m.state, now)
+		}
+	}
+}
+
+// newer reports whether the message is the newest of its sender; datagrams may
+// overtake each other.
+func (n *Node) newer(m message, from net.Addr, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c, known := n.heard[m.sender]
+	if !known {
+		c = &contact{}
+		n.heard[m.sender] = c
+		n.o.Logger.Info("gateway heard", "peer", m.sender, "address", from.String())
+	}
+	older := m.incarnation < c.incarnation || (m.incarnation == c.incarnation && m.sequence <= c.sequence)
+	if known && older && now.Sub(c.last) < resetAfter {
+		return false
+	}
+	*c = contact{address: from, incarnation: m.incarnation, sequence: m.sequence, last: now}
+	return true
+}
+
+func (n *Node) expire(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, c := range n.heard {
+		if now.Sub(c.last) > heardLife {
+			delete(n.heard, name)
+			n.o.Logger.Warn("gateway no longer heard", "peer", name, "silent_ms", now.Sub(c.last).Milliseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -0,0 +1,96 @@
+// Package waitqueue orders the model requests that wait for an engine's memory
+// and decides which of them may take it.
+//
+// It answers bursts: more requests arrive than memory can hold. An answer in
+// time is worth much more than a late one, so those that can still meet their
+// latency target go before those that cannot; the late ones are served from
+// memory that the others do not need, and before their clients give up.
+package waitqueue
+
+import (
+	"cmp"
+	"time"
+)
+
+// Request is a waiting request at one moment.
+type Request struct {
+	// Slack is the time that it may still wait and meet its latency target;
+	// negative if the target is out of reach.
+	Slack time.Duration
+	// Patience is the time that it may still wait before its client gives up.
+	Patience time.Duration
+	// Priority is the rank of its route; 0 is the most urgent.
+	Priority int
+	// Tokens is the memory that it is expected to need.
+	Tokens float64
+	// Returned tells that the client was refused before; it will not come again.
+	Returned bool
+}
+
+// OnTime reports whether the request can still meet its latency target.
+func (r *Request) OnTime() bool { return r.Slack >= 0 }
+
+// Compare orders requests; the first goes first.
+func Compare(a, b *Request) int {
+	if a.OnTime() != b.OnTime() {
+		if a.OnTime() {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if a.OnTime() {
+		return cmp.Compare(a.onTimeKey(), b.onTimeKey())
+	}
+	return cmp.Compare(a.lateKey(), b.lateKey())
+}
+
+// sizeWeight is how much longer, in seconds for 1,000 tokens, a large request
+// waits than a small one: small ones free their memory sooner, so that more
+// requests are in time during a burst.
+const sizeWeight = 0.0
+
+func (r *Request) onTimeKey() float64 {
+	return r.Slack.Seconds() + sizeWeight*r.Tokens/1000
+}
+
+// returnedBonus puts requests that were refused before ahead of others of about
+// the same patience.
+const returnedBonus = 1.0
+
+func (r *Request) lateKey() float64 {
+	key := r.Patience.Seconds()
+	if r.Returned {
+		key -= returnedBonus
+	}
+	return key
+}
+
+// Fill is how far the memory of an engine may be filled, as a share.
+type Fill struct {
+	// OnTime holds for requests that can meet their target.
+	OnTime float64
+	// Late holds for the others while nobody waits who can.
+	Late float64
+	// LateCrowded holds for the others while somebody waits who can.
+	LateCrowded float64
+}
+
+// DefaultFill leaves room for forecasts that err, and for requests in time that
+// arrive soon.
+func DefaultFill() Fill { return Fill{OnTime: 0.97, Late: 0.85, LateCrowded: 0} }
+
+// Limit returns the share of an engine's memory that the request may fill.
+// crowded tells that requests wait somewhere that can still be in time.
+func (f Fill) Limit(r *Request, crowded bool) float64 {
+	switch {
+	case r.OnTime():
+		return f.OnTime
+	case crowded:
+		return f.LateCrowded
+	default:
+		return f.Late
+	}
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -63,6 +63,9 @@
 	LatencyTarget time.Duration
 	// EventGapTarget is the longest pause between events that the operator aims for.
 	EventGapTarget time.Duration
+	// SilenceLimit is how long clients wait for the next event of a stream, the
+	// first included, before they leave; 0: unknown.
+	SilenceLimit time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	// MaxAttempts bounds the upstreams that one request may be sent to.
