--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -80,7 +80,7 @@
 
 // DefaultFill leaves room for forecasts that err, and for requests in time that
 // arrive soon.
-func DefaultFill() Fill { return Fill{OnTime: 0.97, Late: 0.85, LateCrowded: 0} }
+func DefaultFill() Fill { return Fill{OnTime: 0.85, Late: 0.75, LateCrowded: 0} }
 
 // Limit returns the share of an engine's memory that the request may fill.
 // crowded tells that requests wait somewhere that can still be in time.
