--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -133,7 +134,7 @@
 	now := time.Now()
 	w := s.newWaiter(m.call)
 	if !now.Before(w.until) {
-		return grant{}, s.refusal()
+		return grant{}, s.refusal(w.call)
 	}
 	s.mu.Lock()
 	s.waiting = append(s.waiting, w)
@@ -146,7 +147,7 @@
 		m.res.steps.tries += w.tries
 		return gr, gr.err
 	case <-timer.C:
-		return s.withdraw(w, s.refusal(), false)
+		return s.withdraw(w, s.refusal(w.call), false)
 	case <-ctx.Done():
 		return s.withdraw(w, context.Cause(ctx), true)
 	}
@@ -176,8 +177,24 @@
 	return grant{}, err
 }
 
-func (s *scheduler) refusal() error {
-	return refuseOverloaded(s.g.modelRetryAfter(), "no engine has a free slot and memory")
+// refusal tells the client to come back when the burst that fills the engines
+// has probably passed.
+func (s *scheduler) refusal(c *Call) error {
+	return refuseOverloaded(returnTime(c.Left(time.Now())), "no engine has a free slot and memory")
+}
+
+const (
+	// returnShare is the part of its time that a client waits at most before it
+	// comes back; leastReturn and mostReturn spread the returns within that.
+	returnShare             = 1.0 / 3
+	leastReturn, mostReturn = 0.6, 0.95
+	// shortestReturn is the least time after which a return makes sense.
+	shortestReturn = 200 * time.Millisecond
+)
+
+func returnTime(left time.Duration) time.Duration {
+	share := returnShare * (leastReturn + (mostReturn-leastReturn)*rand.Float64())
+	return max(shortestReturn, time.Duration(share*float64(left)))
 }
 
 func (s *scheduler) giveBack(gr grant, request string) {
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -30,10 +30,19 @@
 // OnTime reports whether the request can still meet its latency target.
 func (r *Request) OnTime() bool { return r.Slack >= 0 }
 
+// lastChance is the patience under which a request that was refused before is
+// served as if it were in time: refused once more, it is lost.
+const lastChance = 1200 * time.Millisecond
+
+// urgent reports whether the request belongs to those that go first.
+func (r *Request) urgent() bool {
+	return r.OnTime() || (r.Returned && r.Patience < lastChance)
+}
+
 // Compare orders requests; the first goes first.
 func Compare(a, b *Request) int {
-	if a.OnTime() != b.OnTime() {
-		if a.OnTime() {
+	if a.urgent() != b.urgent() {
+		if a.urgent() {
 			return -1
 		}
 		return 1
@@ -41,8 +50,8 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if a.OnTime() {
-		return cmp.Compare(a.onTimeKey(), b.onTimeKey())
+	if a.urgent() {
+		return cmp.Compare(a.urgentKey(), b.urgentKey())
 	}
 	return cmp.Compare(a.lateKey(), b.lateKey())
 }
@@ -52,8 +61,12 @@
 // requests are in time during a burst.
 const sizeWeight = 0.0
 
-func (r *Request) onTimeKey() float64 {
-	return r.Slack.Seconds() + sizeWeight*r.Tokens/1000
+func (r *Request) urgentKey() float64 {
+	left := r.Slack
+	if !r.OnTime() {
+		left = r.Patience
+	}
+	return left.Seconds() + sizeWeight*r.Tokens/1000
 }
 
 // returnedBonus puts requests that were refused before ahead of others of about
@@ -86,7 +99,7 @@
 // crowded tells that requests wait somewhere that can still be in time.
 func (f Fill) Limit(r *Request, crowded bool) float64 {
 	switch {
-	case r.OnTime():
+	case r.urgent():
 		return f.OnTime
 	case crowded:
 		return f.LateCrowded
