--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -205,6 +205,9 @@
 	err = m.relay.copy(r.resp.Body)
 	m.res.first, m.res.steps.events = m.relay.first, m.relay.events
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = errors.Wrap(cause, err.Error())
+		}
 		if ctx.Err() == nil && !errors.Is(err, errClientGone) {
 			u.Failed()
 		}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -329,7 +329,7 @@
 func (s *scheduler) ask(ctx context.Context, w *waiter, u *fleet.Upstream, run *localRun) {
 	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	hold, err := s.g.Engines.Reserve(callCtx, u, s.holdTokens(w.call), reserveLife)
+	hold, err := s.g.Engines.Reserve(callCtx, u, s.holdTokens(w), reserveLife)
 	if err == nil {
 		w.granted <- grant{hold: hold, run: run}
 		s.g.announce()
@@ -357,14 +357,20 @@
 }
 
 // holdTokens is the memory to reserve. The forecast covers the growth of the
-// output; where other gateways are not heard, only the longest output is safe.
-func (s *scheduler) holdTokens(c *Call) int {
+// output. Where another gateway is on the list but not heard, its requests may
+// grow unseen, so more than the prompt must be free.
+func (s *scheduler) holdTokens(w *waiter) int {
+	tokens := w.call.Model.PromptTokens + reserveMargin
 	if s.load.heardPeers()+1 < s.g.Gateways() {
-		return c.Model.PromptTokens + c.Model.MaxOutputTokens
+		tokens += int(w.median * unheardShare)
 	}
-	return c.Model.PromptTokens + reserveMargin
+	return tokens
 }
 
+// unheardShare is the part of the expected output that is reserved while a
+// gateway is not heard.
+const unheardShare = 0.5
+
 // ended takes a request that has left its engine out of the load.
 func (s *scheduler) ended(gr grant) {
 	s.load.end(gr.hold.Engine, gr.run)
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -59,7 +59,7 @@
 // sizeWeight is how much longer, in seconds for 1,000 tokens, a large request
 // waits than a small one: small ones free their memory sooner, so that more
 // requests are in time during a burst.
-const sizeWeight = 0.0
+const sizeWeight = 0.1
 
 func (r *Request) urgentKey() float64 {
 	left := r.Slack
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -27,11 +27,11 @@
 
 const (
 	// leaseTime is how long the entry outlives a process that died.
-	leaseTime = 6 * time.Second
+	leaseTime = 3 * time.Second
 	// renewInterval leaves two tries before the lease ends.
-	renewInterval = 2 * time.Second
+	renewInterval = 900 * time.Millisecond
 	// retryInterval is the pause after a failed call.
-	retryInterval = 500 * time.Millisecond
+	retryInterval = 300 * time.Millisecond
 	// callTimeout bounds one call.
 	callTimeout = time.Second
 )
