Balance the engines' roles by orders; wait in the queue instead of at a prefill engine

Cause: three of nine engines read prompts although two suffice, and a queue at a prefill engine knows no urgency. One gateway at a time holds the right to order (key under a lease, its revision is the fence); plans and resting engines reach all gateways through the store and by gossip.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -21,8 +21,10 @@
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/leadership"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/presence"
+	"github.com/fescueslip/fescueslip/internal/roles"
 	"github.com/fescueslip/fescueslip/internal/routing"
 	"github.com/fescueslip/fescueslip/internal/settings"
 )
@@ -32,8 +34,11 @@
 type Adapter struct {
 	Store    mirror.Store
 	Presence presence.Store
-	Wire     gateway.Wire
-	Engines  gateway.Engines
+	// Leadership and Orders serve the change of engines' roles.
+	Leadership leadership.Store
+	Orders     roles.Engines
+	Wire       gateway.Wire
+	Engines    gateway.Engines
 	// ConfigurationKey is the key of the routing table; it stands under
 	// ConfigurationPrefix.
 	ConfigurationKey    string
@@ -74,8 +79,9 @@
 			newBackground,
 			newTopology,
 			newGatewayList,
+			newRolePlans,
 		),
-		fx.Invoke(serveReady, serveGatewayAdmin, followStore, joinGateways, watchSettings, serveClients),
+		fx.Invoke(serveReady, serveGatewayAdmin, followStore, joinGateways, manageRoles, watchSettings, serveClients),
 	)
 }
 
@@ -105,17 +111,18 @@
 		Fleet:         f,
 		Retries:       gateway.RetryLimits{Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack},
 		Gateways:      gateways.count,
+		Listed:        gateways.listed,
 		Logger:        p.Logger,
 		Metrics:       m,
 	})
 }
 
 // followStore keeps the routing table and the fleet as the store has them.
-func followStore(p GatewayProcess, t *topology, gateways *gatewayList, b *background, lc fx.Lifecycle) {
-	f := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, log: p.Logger}
+func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlans, b *background, lc fx.Lifecycle) {
+	f := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, log: p.Logger}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
-		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix},
+		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix},
 		WatchPrefix: "",
 		Lapses: func(key string) bool {
 			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
@@ -135,6 +142,7 @@
 	adapter        Adapter
 	topology       *topology
 	gateways       *gatewayList
+	plans          *rolePlans
 	log            *log.Logger
 	configRevision uint64
 	// faulty are the entries that could not be read, to log each only once.
@@ -161,6 +169,7 @@
 	f.applyConfiguration(v)
 	f.applyInstances(v)
 	f.gateways.apply(v, f.log)
+	f.plans.apply(v, f.log)
 	f.topology.listed.Store(true)
 }
 
--- a/internal/app/gateways.go
+++ b/internal/app/gateways.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,19 +34,39 @@
 type gatewayList struct {
 	own   string
 	peers atomic.Pointer[map[string]string]
+
+	mu sync.Mutex
+	// left is when each gateway that is no longer on the list left it.
+	left map[string]time.Time
 }
 
 func newGatewayList(p GatewayProcess) *gatewayList { return &gatewayList{own: p.Settings.Instance} }
 
-// count returns the number of gateways, this one included.
+// recentGateways is how long a gateway that left the list still counts: the
+// limits that gateways share must not grow because the store forgot some.
+const recentGateways = 20 * time.Second
+
+// count returns the number of gateways that were on the list lately, this one
+// included.
 func (l *gatewayList) count() int {
 	peers := l.peers.Load()
 	if peers == nil {
 		return assumedGateways
 	}
-	return len(*peers) + 1
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(*peers) + 1
+	for _, at := range l.left {
+		if time.Since(at) < recentGateways {
+			n++
+		}
+	}
+	return n
 }
 
+// listed returns the number of gateways on the list, this one included.
+func (l *gatewayList) listed() int { return len(l.others()) + 1 }
+
 // others returns the addresses of the other gateways by name.
 func (l *gatewayList) others() map[string]string {
 	if peers := l.peers.Load(); peers != nil {
@@ -72,9 +93,30 @@
 		}
 		next[name] = entry.Peer
 	}
+	l.note(l.others(), next)
 	l.peers.Store(&next)
 }
 
+// note remembers which gateways left the list.
+func (l *gatewayList) note(before, after map[string]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.left == nil {
+		l.left = make(map[string]time.Time)
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			l.left[name] = now
+		}
+	}
+	for name, at := range l.left {
+		if _, back := after[name]; back || now.Sub(at) > recentGateways {
+			delete(l.left, name)
+		}
+	}
+}
+
 // joinGateways puts this gateway on the list and exchanges loads with the others.
 func joinGateways(p GatewayProcess, l *gatewayList, g *gateway.Gateway, b *background, lc fx.Lifecycle) error {
 	value, err := json.Marshal(gatewayEntry{Peer: p.Settings.Listen.Peer})
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -32,6 +32,9 @@
 	silentSeq int     // consecutive requests without any answer
 	avoidTill time.Time
 	fullTill  time.Time
+	// restRole is the role that the instance gives up, until restTill at most.
+	restRole Role
+	restTill time.Time
 }
 
 // Facts returns what the list says of the instance.
@@ -85,12 +88,32 @@
 	u.fullTill = now.Add(pause)
 }
 
+// Rest keeps the upstream from new work until it no longer has the role, or the
+// time is over.
+func (u *Upstream) Rest(role Role, until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.restRole, u.restTill = role, until
+}
+
+// RestLeft returns how much longer the upstream rests; 0 if it does not.
+func (u *Upstream) RestLeft(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.Facts().Role != u.restRole {
+		return 0
+	}
+	return max(0, u.restTill.Sub(now))
+}
+
 // Health is a view of the observations at one moment.
 type Health struct {
 	FailureShare float64
 	LatencyMs    float64
 	Avoid        bool
-	Full         bool
+	// Resting upstreams change their role and get no new work.
+	Resting bool
+	Full    bool
 }
 
 // Health returns the observations as of now.
@@ -101,6 +124,7 @@
 		FailureShare: u.failures,
 		LatencyMs:    u.latency,
 		Avoid:        now.Before(u.avoidTill),
+		Resting:      now.Before(u.restTill) && u.Facts().Role == u.restRole,
 		Full:         now.Before(u.fullTill),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,10 +27,13 @@
 	Tables        *routing.Holder
 	Fleet         *fleet.Fleet
 	Retries       RetryLimits
-	// Gateways returns how many gateways serve the deployment, this one included.
+	// Gateways returns how many gateways serve the deployment, or did so lately,
+	// this one included.
 	Gateways func() int
-	Logger   *log.Logger
-	Metrics  *Metrics
+	// Listed returns how many gateways are on the list now, this one included.
+	Listed  func() int
+	Logger  *log.Logger
+	Metrics *Metrics
 }
 
 // Gateway is the handler of the client port.
@@ -43,6 +46,7 @@
 	bodyBytes    atomic.Int64
 	scheduler    *scheduler
 	ages         *ages
+	demands      *demands
 	// announcer tells the other gateways of a change; nil: there is nobody to tell.
 	announcer func()
 }
@@ -52,6 +56,7 @@
 	g := &Gateway{Options: o, budget: NewBudget(o.Retries, o.Gateways)}
 	g.scheduler = newScheduler(g)
 	g.ages = newAges()
+	g.demands = newDemands()
 	return g
 }
 
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -23,7 +23,10 @@
 	Incarnation int64
 	// PrefillTokens are the prompt tokens sent for prefill and not read yet.
 	PrefillTokens int64
-	Runs          []RunState
+	// Resting is how much longer the engine gets no new work because it changes
+	// its role; 0 if it does not.
+	Resting time.Duration
+	Runs    []RunState
 }
 
 // PeerState is what one gateway tells the others.
@@ -47,11 +50,12 @@
 	// remote is the load that each peer told last.
 	remote map[string]EngineState
 
-	curve     forecast.Curve
-	runs      int
-	computed  time.Time
-	stale     bool
-	tokenRate float64
+	curve    forecast.Curve
+	runs     int
+	computed time.Time
+	stale    bool
+	// tokenRate and prefillRate are the speeds of the engine, in tokens/s.
+	tokenRate, prefillRate float64
 }
 
 // loadTable keeps the load of all engines: this gateway's own requests and what
@@ -99,7 +103,7 @@
 func (t *loadTable) engine(k engineKey) *engineLoad {
 	e, ok := t.engines[k]
 	if !ok {
-		e = &engineLoad{local: make(map[*localRun]struct{}), remote: make(map[string]EngineState), tokenRate: defaultTokenRate}
+		e = &engineLoad{local: make(map[*localRun]struct{}), remote: make(map[string]EngineState), tokenRate: defaultTokenRate, prefillRate: defaultPrefillRate}
 		t.engines[k] = e
 	}
 	return e
@@ -225,17 +229,36 @@
 	return len(t.peers)
 }
 
-// prefillTokens returns the prompt tokens that other gateways have sent to the engine.
-func (t *loadTable) prefillTokens(u *fleet.Upstream) int64 {
+// prefill returns the prompt tokens that other gateways have sent to the engine
+// and that are not read yet, and the engine's speed in tokens/s.
+func (t *loadTable) prefill(u *fleet.Upstream) (others int64, rate float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var sum int64
-	for _, es := range t.engine(keyOf(u)).remote {
-		sum += es.PrefillTokens
+	e := t.engine(keyOf(u))
+	for _, es := range e.remote {
+		others += es.PrefillTokens
 	}
-	return sum
+	return others, e.prefillRate
+}
+
+// prefilled learns the speed of an engine that read the given number of tokens,
+// those ahead included.
+func (t *loadTable) prefilled(u *fleet.Upstream, tokens int64, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.engine(keyOf(u))
+	rate := float64(tokens) / max(took, time.Millisecond).Seconds()
+	// What others sent meanwhile makes an engine look slower than it is.
+	rate = min(max(rate, defaultPrefillRate*leastRateShare), defaultPrefillRate*mostRateShare)
+	e.prefillRate += (rate - e.prefillRate) * rateDecay
 }
 
+// leastRateShare and mostRateShare bound the measured speed of a prefill engine.
+const (
+	leastRateShare = 0.1
+	mostRateShare  = 2.0
+)
+
 // outlook returns the forecast of an engine's memory and its number of requests.
 func (t *loadTable) outlook(u *fleet.Upstream, now time.Time) (forecast.Curve, int, float64) {
 	t.mu.Lock()
@@ -271,18 +294,18 @@
 }
 
 // state returns what this gateway tells the others.
-func (t *loadTable) state(upstreams []*fleet.Upstream) []EngineState {
+func (t *loadTable) state(upstreams []*fleet.Upstream, now time.Time) []EngineState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []EngineState
 	for _, u := range upstreams {
 		k := keyOf(u)
 		e, ok := t.engines[k]
-		prefill := u.PrefillTokens.Load()
-		if prefill == 0 && (!ok || len(e.local) == 0) {
+		prefill, resting := u.PrefillTokens.Load(), u.RestLeft(now)
+		if prefill == 0 && resting == 0 && (!ok || len(e.local) == 0) {
 			continue
 		}
-		es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: prefill}
+		es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: prefill, Resting: resting}
 		if ok {
 			for r := range e.local {
 				es.Runs = append(es.Runs, r.state)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -88,14 +88,14 @@
 	if err != nil {
 		return true, err
 	}
-	defer m.g.scheduler.ended(place)
+	defer func() { m.g.scheduler.ended(place) }()
 	m.res.steps.medianOutput = place.run.state.MedianOutput
-	source, err := m.prefill(ctx)
+	source, err := m.prefill(ctx, &place)
 	if err != nil {
 		m.g.releaseHold(place.hold, m.call.ID)
 		return true, err
 	}
-	return m.decode(ctx, place, source)
+	return m.decode(ctx, &place, source)
 }
 
 // releaseHold gives an unused reservation back in the background.
@@ -116,20 +116,20 @@
 	handle string
 }
 
-func (m *modelRun) prefill(ctx context.Context) (*prefillResult, error) {
-	u := m.g.choosePrefill(m.call)
-	if u == nil {
-		return nil, refuseNoUpstream(m.call.Service.Name)
+// prefill has the prompt read. A nil result without an error means that the
+// decode engine reads it by itself.
+func (m *modelRun) prefill(ctx context.Context, place *grant) (*prefillResult, error) {
+	u := place.prefill
+	if u == place.hold.Engine {
+		return nil, nil
 	}
+	defer place.prefillDone()
 	began := time.Now()
-	tokens := int64(m.call.Model.PromptTokens)
-	u.PrefillTokens.Add(tokens)
-	defer func() {
-		u.PrefillTokens.Add(-tokens)
-		m.res.steps.prefill += time.Since(began)
-	}()
+	defer func() { m.res.steps.prefill += time.Since(began) }()
 	to := u.Facts()
 	m.res.steps.prefillAt = to.ID
+	others, _ := m.g.scheduler.load.prefill(u)
+	ahead := u.PrefillTokens.Load() + others
 	r := m.g.send(ctx, m.call, u, Send{Purpose: Prefill, To: to, Left: m.call.Left(began)}, engineMaxIdle)
 	if r.err != nil {
 		m.g.observe(ctx, u, r)
@@ -137,7 +137,7 @@
 	}
 	if r.verdict != Answered || r.resp.Status != http.StatusOK {
 		_ = r.resp.Body.Close()
-		m.g.observe(ctx, u, r)
+		u.Rest(to.Role, time.Now().Add(refusedPrefillRest))
 		return nil, errors.Errorf("prefill refused with status %d", r.resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.resp.Body, prefillAnswerBytes))
@@ -150,11 +150,20 @@
 		u.Failed()
 		return nil, err
 	}
-	u.Succeeded(time.Since(began))
+	took := time.Since(began)
+	u.Succeeded(took)
+	m.g.scheduler.load.prefilled(u, ahead, took)
 	return &prefillResult{engine: u, handle: handle}, nil
 }
 
+// refusedPrefillRest keeps prompts from an engine that refused one: it changes
+// its role, or has no memory for the result.
+const refusedPrefillRest = 800 * time.Millisecond
+
 func (m *modelRun) free(p *prefillResult) {
+	if p == nil {
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
@@ -166,7 +175,7 @@
 }
 
 // decode sends the request to the engine of the reservation and relays its stream.
-func (m *modelRun) decode(ctx context.Context, place grant, p *prefillResult) (retry bool, err error) {
+func (m *modelRun) decode(ctx context.Context, place *grant, p *prefillResult) (retry bool, err error) {
 	hold := place.hold
 	u := hold.Engine
 	u.InFlight.Add(1)
@@ -175,14 +184,13 @@
 	m.res.attempts++
 	to := u.Facts()
 	m.res.upstream = to.ID
-	r := m.g.send(ctx, m.call, u, Send{
-		Purpose:     Run,
-		To:          to,
-		Left:        m.call.Left(began),
-		Reservation: hold.ID,
-		Source:      &KVSource{Address: p.engine.Facts().Address, Handle: p.handle},
-		ResumeAfter: m.call.ResumeAfter,
-	}, engineMaxIdle)
+	send := Send{Purpose: Run, To: to, Left: m.call.Left(began), Reservation: hold.ID, ResumeAfter: m.call.ResumeAfter}
+	if p != nil {
+		send.Source = &KVSource{Address: p.engine.Facts().Address, Handle: p.handle}
+	} else {
+		defer place.prefillDone()
+	}
+	r := m.g.send(ctx, m.call, u, send, engineMaxIdle)
 	if r.err != nil {
 		m.g.observe(ctx, u, r)
 		m.free(p)
@@ -202,6 +210,9 @@
 	m.g.writeHead(m.w, r.resp)
 	m.w.WriteHeader(r.resp.Status)
 	m.g.scheduler.load.started(u, place.run, time.Now())
+	if p == nil {
+		m.relay.onFirst = place.prefillDone
+	}
 	err = m.relay.copy(r.resp.Body)
 	m.res.first, m.res.steps.events = m.relay.first, m.relay.events
 	if err != nil {
@@ -228,7 +239,8 @@
 	pending []byte
 	first   time.Time
 	events  int
-	lastID  string
+	// onFirst is called with the first event.
+	onFirst func()
 }
 
 func newStreamRelay(w http.ResponseWriter) *streamRelay {
@@ -281,6 +293,9 @@
 	}
 	if s.first.IsZero() {
 		s.first = time.Now()
+		if s.onFirst != nil {
+			s.onFirst()
+		}
 	}
 	s.events += bytes.Count(s.pending[:end], eventEnd)
 	if _, err := s.w.Write(s.pending[:end]); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,12 +24,28 @@
 	return PeerState{
 		Waiting:     onTime,
 		WaitingLate: late,
-		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All()),
+		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All(), now),
 	}
 }
 
 // Hear takes what another gateway told of its load.
 func (g *Gateway) Hear(peer string, s PeerState, now time.Time) {
 	g.scheduler.load.hear(peer, s, now)
+	for _, e := range s.Engines {
+		if e.Resting > 0 {
+			g.restIfAwake(e, now)
+		}
+	}
 	g.scheduler.kick()
 }
+
+// restIfAwake takes over from another gateway that an engine changes its role,
+// which the store may not have told this one. What is known already stays.
+func (g *Gateway) restIfAwake(e EngineState, now time.Time) {
+	for _, u := range g.Fleet.Snapshot().All() {
+		f := u.Facts()
+		if f.ID == e.ID && f.Incarnation == e.Incarnation && u.RestLeft(now) == 0 {
+			u.Rest(f.Role, now.Add(e.Resting))
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/placement.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
+)
+
+const (
+	// maxPrefillWait is how long a prompt may wait at a prefill engine. Requests
+	// beyond that wait in the queue, where the most urgent goes first.
+	maxPrefillWait = 300 * time.Millisecond
+	// selfPrefillShare is the speed at which a decode engine reads a prompt, as a
+	// share of that of a prefill engine.
+	selfPrefillShare = 0.5
+	// farWait is what leaving the failure domain costs, as a wait.
+	farWait = 12 * time.Millisecond
+	// failureWait weighs the failures of a prefill engine, as a wait.
+	failureWait = 600 * time.Millisecond
+)
+
+// prefillChoice is the prefill engine that is free first.
+type prefillChoice struct {
+	engine *fleet.Upstream
+	// wait is the time until it has read the prompts that it has.
+	wait time.Duration
+	rate float64
+}
+
+func prefillTime(c *Call, rate float64) time.Duration {
+	return time.Duration(float64(c.Model.PromptTokens) / rate * float64(time.Second))
+}
+
+// round places as many waiting requests as the engines have room for.
+func (s *scheduler) round(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) == 0 {
+		return
+	}
+	choices := make(map[string]prefillChoice)
+	for _, w := range s.waiting {
+		name := w.call.Service.Name
+		choice, ok := choices[name]
+		if !ok {
+			choice = s.nextPrefill(name, now)
+			choices[name] = choice
+		}
+		w.state = waitqueue.Request{
+			Slack:    w.target.Sub(now) - w.need - min(choice.wait, maxPrefillWait),
+			Patience: w.until.Sub(now),
+			Priority: w.call.Route.Priority,
+			Tokens:   float64(w.call.Model.PromptTokens) + w.median,
+			Returned: w.returned,
+		}
+	}
+	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return waitqueue.Compare(&a.state, &b.state) })
+	othersOnTime, _ := s.load.othersWaiting()
+	crowded := othersOnTime > 0 || s.waiting[0].state.OnTime()
+	for i, looked := 0, 0; i < len(s.waiting) && looked < lookahead; {
+		w := s.waiting[i]
+		if s.tryPlace(ctx, w, crowded, now) {
+			s.waiting = slices.Delete(s.waiting, i, i+1)
+			continue
+		}
+		i++
+		looked++
+	}
+}
+
+// tryPlace places the request if an engine has room for it; the lock is held.
+func (s *scheduler) tryPlace(ctx context.Context, w *waiter, crowded bool, now time.Time) bool {
+	choice := s.nextPrefill(w.call.Service.Name, now)
+	self := choice.engine == nil
+	if choice.wait > maxPrefillWait {
+		return false
+	}
+	u := s.engineFor(w, crowded, self, now)
+	if u == nil {
+		return false
+	}
+	if self {
+		choice = prefillChoice{engine: u, rate: defaultPrefillRate * selfPrefillShare}
+	}
+	s.place(ctx, w, u, choice, now)
+	return true
+}
+
+// nextPrefill returns the prefill engine that is free first; its engine is nil
+// if there is none.
+func (s *scheduler) nextPrefill(service string, now time.Time) prefillChoice {
+	var best prefillChoice
+	var bestCost time.Duration
+	for _, u := range s.g.Fleet.Snapshot().Service(service) {
+		if !u.Usable() || u.Facts().Role != fleet.RolePrefill {
+			continue
+		}
+		h := u.Health(now)
+		if h.Resting || h.Avoid || h.Full {
+			continue
+		}
+		others, rate := s.load.prefill(u)
+		wait := time.Duration(float64(u.PrefillTokens.Load()+others) / rate * float64(time.Second))
+		cost := wait + time.Duration(h.FailureShare*float64(failureWait))
+		if u.Facts().FailureDomain != s.g.FailureDomain {
+			cost += farWait
+		}
+		if best.engine == nil || cost < bestCost {
+			best, bestCost = prefillChoice{engine: u, wait: wait, rate: rate}, cost
+		}
+	}
+	return best
+}
+
+// engineFor returns the decode engine with the most room for the request, or
+// nil. self asks for one that reads no prompt at the moment.
+func (s *scheduler) engineFor(w *waiter, crowded, self bool, now time.Time) *fleet.Upstream {
+	limit := s.fill.Limit(&w.state, crowded)
+	if limit <= 0 {
+		return nil
+	}
+	engine := w.call.Service.Engine
+	var best *fleet.Upstream
+	var bestCost float64
+	for _, u := range s.g.Fleet.Snapshot().Service(w.call.Service.Name) {
+		if !u.Usable() || u.Facts().Role != fleet.RoleDecode {
+			continue
+		}
+		h := u.Health(now)
+		if h.Avoid || h.Full || h.Resting {
+			continue
+		}
+		if self && s.readsPrompt(u) {
+			continue
+		}
+		curve, runs, rate := s.load.outlook(u, now)
+		if runs+slotMargin >= engine.Slots {
+			continue
+		}
+		var own forecast.Curve
+		own.Add(forecast.Run{
+			Prompt:       float64(w.call.Model.PromptTokens),
+			MedianOutput: w.median,
+			MaxOutput:    float64(w.call.Model.MaxOutputTokens),
+			Age:          -w.need.Seconds(),
+		}, rate)
+		peak := curve.PeakWith(&own) / float64(engine.MemoryTokens)
+		if peak > limit {
+			continue
+		}
+		cost := peak + failureCost*h.FailureShare
+		if u.Facts().FailureDomain != s.g.FailureDomain {
+			cost += farCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	return best
+}
+
+func (s *scheduler) readsPrompt(u *fleet.Upstream) bool {
+	others, _ := s.load.prefill(u)
+	return u.PrefillTokens.Load()+others > 0
+}
+
+const (
+	// failureCost weighs the failures of an engine against its fill.
+	failureCost = 2.0
+	// farCost weighs another failure domain, to which events and KV cache cost
+	// more, against the fill.
+	farCost = 0.02
+)
+
+// place asks the engine for the reservation; the lock is held.
+func (s *scheduler) place(ctx context.Context, w *waiter, u *fleet.Upstream, choice prefillChoice, now time.Time) {
+	w.tries++
+	begins := now.Add(startTime + choice.wait + prefillTime(w.call, choice.rate))
+	gr := grant{
+		run: s.load.begin(u, RunState{
+			Prompt:       w.call.Model.PromptTokens,
+			MedianOutput: int(w.median),
+			MaxOutput:    w.call.Model.MaxOutputTokens,
+			Began:        begins,
+		}),
+		prefill: choice.engine,
+		tokens:  int64(w.call.Model.PromptTokens),
+	}
+	gr.prefill.PrefillTokens.Add(gr.tokens)
+	go s.ask(ctx, w, u, gr)
+}
+
+func (s *scheduler) ask(ctx context.Context, w *waiter, u *fleet.Upstream, gr grant) {
+	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	s.g.announce()
+	hold, err := s.g.Engines.Reserve(callCtx, u, s.holdTokens(w), reserveLife)
+	if err == nil {
+		gr.hold = hold
+		w.granted <- gr
+		return
+	}
+	gr.prefillDone()
+	s.load.end(u, gr.run)
+	now := time.Now()
+	if errors.Is(err, ErrNoRoom) {
+		u.Full(now, fullPause)
+	} else {
+		s.g.Logger.Info("reservation failed", "request", w.call.ID, "upstream", u.Facts().ID, "err", err)
+		u.Unreachable(now, unreachablePause)
+	}
+	s.mu.Lock()
+	again := !w.withdrawn && ctx.Err() == nil
+	if again {
+		s.waiting = append(s.waiting, w)
+	}
+	s.mu.Unlock()
+	if !again {
+		w.granted <- grant{err: err}
+		return
+	}
+	s.kick()
+}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -7,10 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/fescueslip/fescueslip/internal/fleet"
-	"github.com/fescueslip/fescueslip/internal/policy/forecast"
 	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 )
 
@@ -45,13 +42,16 @@
 type waiter struct {
 	call   *Call
 	median float64
-	// target is when the first event must leave to be in time.
+	// target is when the first event must reach the client to be in time.
 	target time.Time
 	// until is when the request is refused.
 	until    time.Time
 	returned bool
 	tries    int
-	granted  chan grant
+	// need is the time from the placement to the first event at the client while
+	// no prefill engine has work.
+	need    time.Duration
+	granted chan grant
 	// withdrawn tells that the request no longer waits for a place in the queue.
 	withdrawn bool
 	// state is kept for the sorting of one round.
@@ -62,7 +62,18 @@
 type grant struct {
 	hold Reservation
 	run  *localRun
-	err  error
+	// prefill is the engine that reads the prompt; it is that of the reservation
+	// when no prefill engine is free soon. Its count of prompt tokens includes
+	// this request until prefillDone is called.
+	prefill *fleet.Upstream
+	tokens  int64
+	err     error
+}
+
+// prefillDone takes the prompt out of the count of the engine that read it.
+func (gr *grant) prefillDone() {
+	gr.prefill.PrefillTokens.Add(-gr.tokens)
+	gr.tokens = 0
 }
 
 // scheduler gives the memory of decode engines to waiting requests.
@@ -120,7 +131,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range s.waiting {
-		if now.Before(w.target) {
+		if now.Before(w.target.Add(-w.need)) {
 			onTime++
 		} else {
 			late++
@@ -133,6 +144,7 @@
 func (s *scheduler) reserve(ctx context.Context, m *modelRun) (grant, error) {
 	now := time.Now()
 	w := s.newWaiter(m.call)
+	s.g.demands.observe(m.call.Service, float64(m.call.Model.PromptTokens), w.median, s.fill.OnTime)
 	if !now.Before(w.until) {
 		return grant{}, s.refusal(w.call)
 	}
@@ -199,6 +211,7 @@
 
 func (s *scheduler) giveBack(gr grant, request string) {
 	s.g.releaseHold(gr.hold, request)
+	gr.prefillDone()
 	s.ended(gr)
 }
 
@@ -209,11 +222,13 @@
 		granted:  make(chan grant, 1),
 		returned: c.Age > 0,
 	}
-	need := firstEventTime + clientTransit + s.prefillTime(c)
-	w.target = c.Received.Add(c.Route.LatencyTarget - c.Age - need)
-	w.until = c.Deadline
+	w.need = firstEventTime + clientTransit + prefillTime(c, defaultPrefillRate)
+	w.target = c.Received.Add(c.Route.LatencyTarget - c.Age)
+	// Output that is cut off by the deadline is worth nothing.
+	output := time.Duration(w.median / defaultTokenRate * float64(time.Second))
+	w.until = c.Deadline.Add(-w.need - output)
 	if silence := c.Route.SilenceLimit; silence > 0 {
-		if t := c.Received.Add(silence - need - silenceMargin); t.Before(w.until) {
+		if t := c.Received.Add(silence - w.need - silenceMargin); t.Before(w.until) {
 			w.until = t
 		}
 	}
@@ -228,140 +243,12 @@
 // that the refusal arrives.
 const silenceMargin = 150 * time.Millisecond
 
-func (s *scheduler) prefillTime(c *Call) time.Duration {
-	return time.Duration(float64(c.Model.PromptTokens) / defaultPrefillRate * float64(time.Second))
-}
-
-// round places as many waiting requests as the engines have room for.
-func (s *scheduler) round(ctx context.Context, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.waiting) == 0 {
-		return
-	}
-	for _, w := range s.waiting {
-		w.state = waitqueue.Request{
-			Slack:    w.target.Sub(now),
-			Patience: w.until.Sub(now),
-			Priority: w.call.Route.Priority,
-			Tokens:   float64(w.call.Model.PromptTokens) + w.median,
-			Returned: w.returned,
-		}
-	}
-	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return waitqueue.Compare(&a.state, &b.state) })
-	othersOnTime, _ := s.load.othersWaiting()
-	crowded := othersOnTime > 0 || s.waiting[0].state.OnTime()
-	for i, looked := 0, 0; i < len(s.waiting) && looked < lookahead; {
-		w := s.waiting[i]
-		if u := s.engineFor(w, crowded, now); u != nil {
-			s.waiting = slices.Delete(s.waiting, i, i+1)
-			s.place(ctx, w, u, now)
-			continue
-		}
-		i++
-		looked++
-	}
-}
-
-// engineFor returns the engine with the most room for the request, or nil.
-func (s *scheduler) engineFor(w *waiter, crowded bool, now time.Time) *fleet.Upstream {
-	limit := s.fill.Limit(&w.state, crowded)
-	if limit <= 0 {
-		return nil
-	}
-	engine := w.call.Service.Engine
-	var best *fleet.Upstream
-	var bestCost float64
-	for _, u := range s.g.Fleet.Snapshot().Service(w.call.Service.Name) {
-		if !u.Usable() || u.Facts().Role != fleet.RoleDecode {
-			continue
-		}
-		h := u.Health(now)
-		if h.Avoid || h.Full {
-			continue
-		}
-		curve, runs, rate := s.load.outlook(u, now)
-		if runs+slotMargin >= engine.Slots {
-			continue
-		}
-		var own forecast.Curve
-		own.Add(forecast.Run{
-			Prompt:       float64(w.call.Model.PromptTokens),
-			MedianOutput: w.median,
-			MaxOutput:    float64(w.call.Model.MaxOutputTokens),
-			Age:          -s.prefillTime(w.call).Seconds(),
-		}, rate)
-		peak := curve.PeakWith(&own) / float64(engine.MemoryTokens)
-		if peak > limit {
-			continue
-		}
-		cost := peak + failureCost*h.FailureShare
-		if u.Facts().FailureDomain != s.g.FailureDomain {
-			cost += farCost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = u, cost
-		}
-	}
-	return best
-}
-
-const (
-	// failureCost weighs the failures of an engine against its fill.
-	failureCost = 2.0
-	// farCost weighs another failure domain, to which events and KV cache cost
-	// more, against the fill.
-	farCost = 0.02
-)
-
-// place asks the engine for the reservation; the lock is held.
-func (s *scheduler) place(ctx context.Context, w *waiter, u *fleet.Upstream, now time.Time) {
-	w.tries++
-	run := s.load.begin(u, RunState{
-		Prompt:       w.call.Model.PromptTokens,
-		MedianOutput: int(w.median),
-		MaxOutput:    w.call.Model.MaxOutputTokens,
-		Began:        now.Add(startTime + s.prefillTime(w.call)),
-	})
-	go s.ask(ctx, w, u, run)
-}
-
-func (s *scheduler) ask(ctx context.Context, w *waiter, u *fleet.Upstream, run *localRun) {
-	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	hold, err := s.g.Engines.Reserve(callCtx, u, s.holdTokens(w), reserveLife)
-	if err == nil {
-		w.granted <- grant{hold: hold, run: run}
-		s.g.announce()
-		return
-	}
-	s.load.end(u, run)
-	now := time.Now()
-	if errors.Is(err, ErrNoRoom) {
-		u.Full(now, fullPause)
-	} else {
-		s.g.Logger.Info("reservation failed", "request", w.call.ID, "upstream", u.Facts().ID, "err", err)
-		u.Unreachable(now, unreachablePause)
-	}
-	s.mu.Lock()
-	again := !w.withdrawn && ctx.Err() == nil
-	if again {
-		s.waiting = append(s.waiting, w)
-	}
-	s.mu.Unlock()
-	if !again {
-		w.granted <- grant{err: err}
-		return
-	}
-	s.kick()
-}
-
 // holdTokens is the memory to reserve. The forecast covers the growth of the
 // output. Where another gateway is on the list but not heard, its requests may
 // grow unseen, so more than the prompt must be free.
 func (s *scheduler) holdTokens(w *waiter) int {
 	tokens := w.call.Model.PromptTokens + reserveMargin
-	if s.load.heardPeers()+1 < s.g.Gateways() {
+	if s.load.heardPeers()+1 < s.g.Listed() {
 		tokens += int(w.median * unheardShare)
 	}
 	return tokens
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -49,6 +49,7 @@
 		b = appendString(b, e.ID)
 		b = binary.AppendVarint(b, e.Incarnation)
 		b = binary.AppendUvarint(b, uint64(max(0, e.PrefillTokens)/tokenUnit))
+		b = binary.AppendUvarint(b, uint64(max(0, e.Resting)/timeUnit))
 		b = binary.AppendUvarint(b, uint64(len(e.Runs)))
 		for _, r := range e.Runs {
 			b = binary.AppendUvarint(b, uint64(r.Prompt/tokenUnit))
@@ -124,6 +125,7 @@
 	for range engines {
 		e := gateway.EngineState{ID: r.text(), Incarnation: r.varint()}
 		e.PrefillTokens = int64(r.tokens())
+		e.Resting = time.Duration(r.uvarint(uint64(maxDistance))) * timeUnit
 		runs := r.uvarint(maxRuns)
 		for range runs {
 			run := gateway.RunState{Prompt: r.tokens(), MedianOutput: r.tokens(), MaxOutput: r.tokens()}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -8,20 +8,19 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
-)
 
-// ErrLeaseEnded is returned when a lease no longer exists.
-var ErrLeaseEnded = errors.New("the lease has ended")
+	"github.com/fescueslip/fescueslip/internal/leadership"
+)
 
 // Store is the part of a key-value store that presence needs.
 type Store interface {
 	// Grant begins a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
-	// Renew begins the lease's time anew; ErrLeaseEnded if there is no such lease.
+	// Renew begins the lease's time anew; leadership.ErrLeaseEnded if there is no such lease.
 	Renew(ctx context.Context, lease uint64) error
 	// End ends the lease and removes its keys.
 	End(ctx context.Context, lease uint64) error
-	// Put writes the key, bound to the lease; ErrLeaseEnded if there is no such lease.
+	// Put writes the key, bound to the lease; 0 means no lease.
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 }
 
@@ -88,7 +87,7 @@
 	defer cancel()
 	if k.lease != 0 {
 		err := k.Store.Renew(ctx, k.lease)
-		if !errors.Is(err, ErrLeaseEnded) {
+		if !errors.Is(err, leadership.ErrLeaseEnded) {
 			return err
 		}
 		k.lease = 0
--- /dev/null
+++ b/internal/roles/roles.go
@@ -0,0 +1,265 @@
+// Package roles keeps the number of prefill and decode engines in proportion to
+// the work: one gateway at a time orders engines to change their role.
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/leadership"
+	"github.com/fescueslip/fescueslip/internal/policy/rebalance"
+)
+
+// Order tells an engine to change its role.
+type Order struct {
+	To     *fleet.Instance
+	Role   fleet.Role
+	Holder string
+	Fence  uint64
+	// Expected is the number of orders that the engine must have accepted before;
+	// an order that is carried out late then meets another number and does nothing.
+	Expected uint64
+}
+
+// Answer is what an engine said to an order.
+type Answer int
+
+// The answers to orders.
+const (
+	// Accepted orders are being carried out, or hold already.
+	Accepted Answer = iota
+	// Refused orders will not be carried out.
+	Refused
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	Role     fleet.Role
+	Busy     bool
+	Accepted uint64
+	Running  int
+	Waiting  int
+}
+
+// Engines are the calls that the manager makes.
+type Engines interface {
+	Report(ctx context.Context, to *fleet.Instance) (Report, error)
+	Order(ctx context.Context, o Order) (Answer, error)
+}
+
+// Plans keep the orders under way where all gateways see them.
+type Plans interface {
+	Put(ctx context.Context, key string, value []byte, lease uint64) error
+}
+
+// Plan is an order under way. Gateways send no new work to its engine until it
+// has the role or the plan is past its time.
+type Plan struct {
+	Engine      string `json:"engine"`
+	Incarnation int64  `json:"incarnation"`
+	Role        string `json:"role"`
+	// Number grows with each plan.
+	Number uint64 `json:"number"`
+}
+
+// PlanKey is the key of the plan in the store.
+const PlanKey = "fescueslip/roles/plan"
+
+// LeaderKey is the key of the right to give orders.
+const LeaderKey = "fescueslip/roles/leader"
+
+// Demand is the work of the requests of one service, as far as seen.
+type Demand struct {
+	// Requests is the number that the estimate rests on.
+	Requests int
+	// PrefillSeconds and DecodeSeconds are the engine time of a mean request.
+	PrefillSeconds, DecodeSeconds float64
+}
+
+const (
+	// interval is how often the proportion is looked at.
+	interval = 500 * time.Millisecond
+	// leastRequests is the number of requests below which the mix is unknown.
+	leastRequests = 6
+	// orderTimeout bounds one call to an engine.
+	orderTimeout = 800 * time.Millisecond
+	// switchSlack is how much longer than announced a change of role may take:
+	// the engine first ends its running requests.
+	switchSlack = 10 * time.Second
+	// unansweredPause is how long nothing is ordered after an order without an
+	// answer; it may be carried out that much later.
+	unansweredPause = 13 * time.Second
+)
+
+// balance makes a change worth its cost: an engine does no work for some seconds.
+var balance = rebalance.Options{High: 0, Gain: 0.05, Hold: 2500 * time.Millisecond, Interval: 9 * time.Second}
+
+// Options configure a manager.
+type Options struct {
+	Name    string
+	Lease   time.Duration
+	Elector *leadership.Elector
+	Engines Engines
+	Plans   Plans
+	Fleet   *fleet.Fleet
+	// Services returns the services with model engines, and how long a change of
+	// role takes there.
+	Services func() map[string]time.Duration
+	Demand   func(service string) Demand
+	Logger   *log.Logger
+}
+
+// Manager gives orders while this process holds the right to.
+type Manager struct {
+	o         Options
+	balancers map[string]*rebalance.Balancer
+	// quietUntil is when the next order may be given, by service.
+	quietUntil map[string]time.Duration
+	number     uint64
+}
+
+// New returns a manager.
+func New(o Options) *Manager {
+	return &Manager{o: o, balancers: make(map[string]*rebalance.Balancer), quietUntil: make(map[string]time.Duration)}
+}
+
+// Run gives orders until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			m.round(ctx)
+		}
+	}
+}
+
+func (m *Manager) round(ctx context.Context) {
+	term, ok := m.o.Elector.Term()
+	now := leadership.Uptime()
+	// The holder before may have given an order just before its lease ended.
+	if !ok || now-term.Since < m.o.Lease {
+		return
+	}
+	for service, switchTime := range m.o.Services() {
+		if err := m.balance(ctx, term, service, switchTime, now); err != nil {
+			m.o.Logger.Warn("engine not ordered", "service", service, "fence", term.Fence, "err", err)
+		}
+	}
+}
+
+func (m *Manager) balance(ctx context.Context, term leadership.Term, service string, switchTime, now time.Duration) error {
+	if now < m.quietUntil[service] {
+		return nil
+	}
+	d := m.o.Demand(service)
+	if d.Requests < leastRequests {
+		return nil
+	}
+	prefill, decode := m.pools(service)
+	b, ok := m.balancers[service]
+	if !ok {
+		b = rebalance.New(balance)
+		m.balancers[service] = b
+	}
+	move, ok := b.Next(now,
+		rebalance.Pool{Servers: len(prefill), Floor: 1, Pressure: pressure(d.PrefillSeconds, len(prefill))},
+		rebalance.Pool{Servers: len(decode), Floor: 1, Pressure: pressure(d.DecodeSeconds, len(decode))})
+	if !ok {
+		return nil
+	}
+	from, role := prefill, fleet.RoleDecode
+	if move.From == rebalance.Decode {
+		from, role = decode, fleet.RolePrefill
+	}
+	m.quietUntil[service] = now + switchTime + switchSlack/2
+	return m.order(ctx, term, service, leastLoaded(from), role, now)
+}
+
+// noServers stands for the pressure on a role without any engine.
+const noServers = 1e6
+
+func pressure(work float64, servers int) float64 {
+	if servers == 0 {
+		return noServers
+	}
+	return work / float64(servers)
+}
+
+func (m *Manager) pools(service string) (prefill, decode []*fleet.Upstream) {
+	for _, u := range m.o.Fleet.Snapshot().Service(service) {
+		if !u.Usable() {
+			continue
+		}
+		switch u.Facts().Role {
+		case fleet.RolePrefill:
+			prefill = append(prefill, u)
+		case fleet.RoleDecode:
+			decode = append(decode, u)
+		}
+	}
+	return prefill, decode
+}
+
+func leastLoaded(list []*fleet.Upstream) *fleet.Upstream {
+	best := list[0]
+	for _, u := range list[1:] {
+		if u.InFlight.Load()+u.PrefillTokens.Load() < best.InFlight.Load()+best.PrefillTokens.Load() {
+			best = u
+		}
+	}
+	return best
+}
+
+func (m *Manager) order(ctx context.Context, term leadership.Term, service string, u *fleet.Upstream, role fleet.Role, now time.Duration) error {
+	to := u.Facts()
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := m.o.Engines.Report(callCtx, to)
+	if err != nil {
+		return errors.Wrap(err, "read the engine's state")
+	}
+	if report.Busy || report.Role == role {
+		return errors.Errorf("engine %s is busy or has the role already", to.ID)
+	}
+	if err := m.publish(ctx, to, role); err != nil {
+		return errors.Wrap(err, "publish the plan")
+	}
+	if err := m.o.Elector.Confirm(ctx, term); err != nil {
+		return err
+	}
+	if current, ok := m.o.Elector.Term(); !ok || current != term {
+		return errors.New("the right ended before the order")
+	}
+	orderCtx, cancelOrder := context.WithTimeout(ctx, orderTimeout)
+	defer cancelOrder()
+	answer, err := m.o.Engines.Order(orderCtx, Order{To: to, Role: role, Holder: m.o.Name, Fence: term.Fence, Expected: report.Accepted})
+	m.o.Logger.Info("engine ordered to change its role", "service", service, "upstream", to.ID, "role", role.String(),
+		"fence", term.Fence, "expected_orders", report.Accepted, "accepted", err == nil && answer == Accepted, "err", err)
+	if err != nil {
+		m.quietUntil[service] = now + unansweredPause
+	}
+	return err
+}
+
+func (m *Manager) publish(ctx context.Context, to *fleet.Instance, role fleet.Role) error {
+	m.number++
+	value, err := json.Marshal(Plan{Engine: to.ID, Incarnation: to.Incarnation, Role: role.String(), Number: m.number})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return m.o.Plans.Put(ctx, PlanKey, value, 0)
+}
+
+// SwitchLimit returns how long a plan keeps new work from its engine at most.
+func SwitchLimit(switchTime time.Duration) time.Duration { return switchTime + switchSlack }
