--- a/internal/app/roles.go
+++ b/internal/app/roles.go
@@ -26,8 +26,6 @@
 	free    atomic.Bool
 	// revision is that of the plan that was read last.
 	revision uint64
-	// listed tells that the store was read once.
-	listed bool
 }
 
 func newRolePlans(g *gateway.Gateway, tables *routing.Holder) *rolePlans {
@@ -37,17 +35,11 @@
 func (r *rolePlans) apply(v mirror.View, logger *log.Logger) {
 	_, taken := v.Entries[roles.LeaderKey]
 	r.free.Store(!taken)
-	first := !r.listed
-	r.listed = true
 	e, ok := v.Entries[roles.PlanKey]
 	if !ok || e.Revision == r.revision {
 		return
 	}
 	r.revision = e.Revision
-	if first {
-		// A plan that is older than this process has probably been carried out.
-		return
-	}
 	var plan roles.Plan
 	if err := json.Unmarshal(e.Value, &plan); err != nil {
 		logger.Warn("plan of a role change ignored", "store_revision", e.Revision, "err", err)
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -35,6 +35,8 @@
 	// restRole is the role that the instance gives up, until restTill at most.
 	restRole Role
 	restTill time.Time
+	// refusals counts requests refused in a row.
+	refusals int
 }
 
 // Facts returns what the list says of the instance.
@@ -51,7 +53,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failures -= u.failures * errorDecay
-	u.silentSeq = 0
+	u.silentSeq, u.refusals = 0, 0
 	ms := float64(d) / float64(time.Millisecond)
 	if u.latency == 0 {
 		u.latency = ms
@@ -96,6 +98,35 @@
 	u.restRole, u.restTill = role, until
 }
 
+const (
+	// firstRest and longestRest bound the rest after refusals in a row; it doubles.
+	firstRest   = 700 * time.Millisecond
+	longestRest = 6 * time.Second
+)
+
+// Refused records that the upstream refused work that it should have taken. A
+// second refusal in a row keeps new work away for a while, or a first one if it
+// proves that the upstream does not do such work now.
+func (u *Upstream) Refused(now time.Time, certain bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.refusals++
+	step := u.refusals
+	if !certain {
+		step--
+	}
+	if step <= 0 {
+		return
+	}
+	rest := min(longestRest, firstRest<<min(step-1, maxRestDoublings))
+	if till := now.Add(rest); till.After(u.restTill) || u.restRole != u.Facts().Role {
+		u.restRole, u.restTill = u.Facts().Role, till
+	}
+}
+
+// maxRestDoublings keeps the shift of firstRest in range.
+const maxRestDoublings = 8
+
 // RestLeft returns how much longer the upstream rests; 0 if it does not.
 func (u *Upstream) RestLeft(now time.Time) time.Duration {
 	u.mu.Lock()
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -137,7 +137,7 @@
 	}
 	if r.verdict != Answered || r.resp.Status != http.StatusOK {
 		_ = r.resp.Body.Close()
-		u.Rest(to.Role, time.Now().Add(refusedPrefillRest))
+		u.Refused(time.Now(), true)
 		return nil, errors.Errorf("prefill refused with status %d", r.resp.Status)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.resp.Body, prefillAnswerBytes))
@@ -151,15 +151,10 @@
 		return nil, err
 	}
 	took := time.Since(began)
-	u.Succeeded(took)
 	m.g.scheduler.load.prefilled(u, ahead, took)
 	return &prefillResult{engine: u, handle: handle}, nil
 }
 
-// refusedPrefillRest keeps prompts from an engine that refused one: it changes
-// its role, or has no memory for the result.
-const refusedPrefillRest = 800 * time.Millisecond
-
 func (m *modelRun) free(p *prefillResult) {
 	if p == nil {
 		return
@@ -202,6 +197,12 @@
 	if r.verdict != Answered {
 		m.g.releaseHold(hold, m.call.ID)
 		m.free(p)
+		// Either engine may be the reason: the one does not decode now, or the
+		// prefill result of the other is gone.
+		u.Refused(time.Now(), false)
+		if p != nil {
+			p.engine.Refused(time.Now(), false)
+		}
 		return true, errors.Errorf("decode refused with status %d", r.resp.Status)
 	}
 	defer func() { _ = r.resp.Body.Close() }()
@@ -225,6 +226,9 @@
 		return false, err
 	}
 	u.Succeeded(m.relay.firstDelay(began))
+	if p != nil {
+		p.engine.Succeeded(m.res.steps.prefill)
+	}
 	if per := m.call.Service.Engine.TokensPerEvent; per > 0 && r.resp.Status == http.StatusOK {
 		m.g.scheduler.load.finished(u, m.call.Route.Name, float64(m.relay.events*per),
 			float64(m.call.Model.MaxOutputTokens), time.Since(m.relay.first))
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -54,6 +54,7 @@
 
 // Plans keep the orders under way where all gateways see them.
 type Plans interface {
+	Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error)
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 }
 
@@ -181,7 +182,7 @@
 		from, role = decode, fleet.RolePrefill
 	}
 	m.quietUntil[service] = now + switchTime + switchSlack/2
-	return m.order(ctx, term, service, leastLoaded(from), role, now)
+	return m.order(ctx, term, service, leastLoaded(from), role, switchTime, now)
 }
 
 // noServers stands for the pressure on a role without any engine.
@@ -219,7 +220,7 @@
 	return best
 }
 
-func (m *Manager) order(ctx context.Context, term leadership.Term, service string, u *fleet.Upstream, role fleet.Role, now time.Duration) error {
+func (m *Manager) order(ctx context.Context, term leadership.Term, service string, u *fleet.Upstream, role fleet.Role, switchTime, now time.Duration) error {
 	to := u.Facts()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -230,7 +231,7 @@
 	if report.Busy || report.Role == role {
 		return errors.Errorf("engine %s is busy or has the role already", to.ID)
 	}
-	if err := m.publish(ctx, to, role); err != nil {
+	if err := m.publish(ctx, to, role, SwitchLimit(switchTime)); err != nil {
 		return errors.Wrap(err, "publish the plan")
 	}
 	if err := m.o.Elector.Confirm(ctx, term); err != nil {
@@ -250,7 +251,8 @@
 	return err
 }
 
-func (m *Manager) publish(ctx context.Context, to *fleet.Instance, role fleet.Role) error {
+// publish writes the plan under a lease: it vanishes when its time is over.
+func (m *Manager) publish(ctx context.Context, to *fleet.Instance, role fleet.Role, life time.Duration) error {
 	m.number++
 	value, err := json.Marshal(Plan{Engine: to.ID, Incarnation: to.Incarnation, Role: role.String(), Number: m.number})
 	if err != nil {
@@ -258,7 +260,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return m.o.Plans.Put(ctx, PlanKey, value, 0)
+	lease, err := m.o.Plans.Grant(ctx, life)
+	if err != nil {
+		return err
+	}
+	return m.o.Plans.Put(ctx, PlanKey, value, lease)
 }
 
 // SwitchLimit returns how long a plan keeps new work from its engine at most.
