--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -5,10 +5,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,6 +58,14 @@
 
 	ClientListener, ReadyListener, AdminListener net.Listener
 	PeerConn                                     net.PacketConn
+	// Reload tells that the settings file may have changed; nil: only the file's
+	// time tells.
+	Reload <-chan os.Signal
+	// Clock is the clock that leases run on; nil means the machine's uptime.
+	Clock leadership.Clock
+	// Life ends when the process is killed: the stop that follows skips the
+	// graceful shutdown. Nil means that the process is only ever stopped.
+	Life context.Context
 }
 
 // GatewayOptions returns the fx options of a gateway process.
@@ -276,6 +282,10 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			if p.Life != nil && p.Life.Err() != nil {
+				server.close()
+				return nil
+			}
 			p.Logger.Info("shutdown begins", "in_flight", g.InFlight())
 			drainClients(ctx, g, p.Settings.Shutdown.Grace)
 			p.Logger.Info("client port closes", "in_flight", g.InFlight())
@@ -314,13 +324,10 @@
 
 // watchSettings reads the settings file again when it has changed.
 func watchSettings(p GatewayProcess, b *background, lc fx.Lifecycle) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	lc.Append(fx.StartHook(func() {
 		b.run("settings", func(ctx context.Context) error {
-			defer signal.Stop(hup)
 			w := settingsWatcher{path: p.SettingsPath, log: p.Logger}
-			w.run(ctx, hup)
+			w.run(ctx, p.Reload)
 			return nil
 		})
 	}))
@@ -336,7 +343,7 @@
 	modified time.Time
 }
 
-func (w *settingsWatcher) run(ctx context.Context, hup <-chan os.Signal) {
+func (w *settingsWatcher) run(ctx context.Context, reload <-chan os.Signal) {
 	w.changed()
 	tick := time.NewTicker(settingsInterval)
 	defer tick.Stop()
@@ -344,7 +351,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reload:
 			w.changed()
 			w.reload("signal")
 		case <-tick.C:
--- a/internal/app/roles.go
+++ b/internal/app/roles.go
@@ -72,6 +72,7 @@
 		Key:    roles.LeaderKey,
 		Name:   p.Settings.Instance,
 		Lease:  p.Settings.Leadership.Lease,
+		Clock:  p.Clock,
 		Free:   plans.free.Load,
 		Logger: p.Logger,
 	})
@@ -79,6 +80,7 @@
 		Name:    p.Settings.Instance,
 		Lease:   p.Settings.Leadership.Lease,
 		Elector: elector,
+		Clock:   p.Clock,
 		Engines: p.Adapter.Orders,
 		Plans:   p.Adapter.Presence,
 		Fleet:   f,
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -6,7 +6,9 @@
 	"flag"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
@@ -94,12 +96,15 @@
 
 func (c *gatewayCommand) process(s *settings.Gateway, logger *log.Logger) (app.GatewayProcess, error) {
 	pool := exchange.NewPool(nil)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	p := app.GatewayProcess{
 		Settings:     s,
 		SettingsPath: c.config,
 		Adapter:      platform.NewAdapter(s.StoreAddress, pool),
 		Pool:         pool,
 		Logger:       logger,
+		Reload:       reload,
 	}
 	var err error
 	if p.ClientListener, err = net.Listen("tcp", s.Listen.Client); err != nil {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -47,6 +47,8 @@
 	// Name is written into the key, for people.
 	Name  string
 	Lease time.Duration
+	// Clock tells the time that leases run on; nil means Uptime.
+	Clock Clock
 	// Free reports, without a call to the store, whether the key seems to be free.
 	Free   func() bool
 	Logger *log.Logger
@@ -56,7 +58,7 @@
 type Term struct {
 	// Fence is the fencing token.
 	Fence uint64
-	// Since is when the right was obtained, on the clock of Uptime.
+	// Since is when the right was obtained, on the elector's clock.
 	Since time.Duration
 }
 
@@ -73,8 +75,17 @@
 	until time.Duration
 }
 
+// Clock returns the time since some fixed moment. It must go on while the
+// process is suspended.
+type Clock func() time.Duration
+
 // New returns an elector.
-func New(o Options) *Elector { return &Elector{o: o} }
+func New(o Options) *Elector {
+	if o.Clock == nil {
+		o.Clock = Uptime
+	}
+	return &Elector{o: o}
+}
 
 // Uptime returns the time since the machine started, the time that it was
 // suspended included: a lease goes on running while its holder stands still.
@@ -91,7 +102,7 @@
 // right, or cannot be sure of it.
 func (e *Elector) Term() (Term, bool) {
 	h := e.state.Load()
-	if h == nil || Uptime() >= h.until {
+	if h == nil || e.o.Clock() >= h.until {
 		return Term{}, false
 	}
 	return h.term, true
@@ -143,7 +154,7 @@
 }
 
 func (e *Elector) renew(ctx context.Context) {
-	asked := Uptime()
+	asked := e.o.Clock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	h := e.state.Load()
@@ -151,7 +162,7 @@
 	switch {
 	case err == nil:
 		e.state.Store(&held{term: h.term, until: asked + e.o.Lease - validityMargin})
-	case errors.Is(err, ErrLeaseEnded) || Uptime() >= h.until:
+	case errors.Is(err, ErrLeaseEnded) || e.o.Clock() >= h.until:
 		e.state.Store(nil)
 		e.o.Logger.Warn("right lost", "key", e.o.Key, "fence", h.term.Fence, "err", err)
 	}
@@ -160,7 +171,7 @@
 func (e *Elector) compete(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := Uptime()
+	asked := e.o.Clock()
 	lease, err := e.o.Store.Grant(callCtx, e.o.Lease)
 	if err != nil {
 		e.o.Logger.Debug("no lease granted", "key", e.o.Key, "err", err)
@@ -174,6 +185,6 @@
 		return
 	}
 	e.lease = lease
-	e.state.Store(&held{term: Term{Fence: revision, Since: Uptime()}, until: asked + e.o.Lease - validityMargin})
+	e.state.Store(&held{term: Term{Fence: revision, Since: e.o.Clock()}, until: asked + e.o.Lease - validityMargin})
 	e.o.Logger.Info("right obtained", "key", e.o.Key, "fence", revision)
 }
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -105,6 +105,8 @@
 	Name    string
 	Lease   time.Duration
 	Elector *leadership.Elector
+	// Clock is the clock of the elector.
+	Clock   leadership.Clock
 	Engines Engines
 	Plans   Plans
 	Fleet   *fleet.Fleet
@@ -126,6 +128,9 @@
 
 // New returns a manager.
 func New(o Options) *Manager {
+	if o.Clock == nil {
+		o.Clock = leadership.Uptime
+	}
 	return &Manager{o: o, balancers: make(map[string]*rebalance.Balancer), quietUntil: make(map[string]time.Duration)}
 }
 
@@ -145,7 +150,7 @@
 
 func (m *Manager) round(ctx context.Context) {
 	term, ok := m.o.Elector.Term()
-	now := leadership.Uptime()
+	now := m.o.Clock()
 	// The holder before may have given an order just before its lease ended.
 	if !ok || now-term.Since < m.o.Lease {
 		return
