--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -96,9 +96,13 @@
 
 // Run sends and receives until the context ends.
 func (n *Node) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = n.o.Conn.Close() })
-	defer stop()
-	go n.receive(ctx)
+	var receiver sync.WaitGroup
+	receiver.Go(func() { n.receive(ctx) })
+	defer func() {
+		// Closing the socket ends the receiver.
+		_ = n.o.Conn.Close()
+		receiver.Wait()
+	}()
 	tick := time.NewTicker(refresh)
 	defer tick.Stop()
 	for {
