--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -43,7 +43,8 @@
 	return `gateway [-config FILE]
   Serves clients until SIGTERM or SIGINT, then shuts down gracefully. SIGHUP
   reads the settings again. Without -config, the file is the one that the
-  environment variable FESCUESLIP_CONFIG names. Log lines go to standard output.
+  environment variable ` + platform.SettingsPathVariable + ` names.
+  Log lines go to standard output.
   Exit code 2 when the settings have faults, 1 when the process cannot start.
 `
 }
--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -74,7 +74,7 @@
 
 // minAlive keeps the chance that a run still goes on from vanishing when it has
 // outlived every expectation.
-const minAlive = 0.02
+const minAlive = 1e-9
 
 // survival is the chance that the output of a run exceeds the given length.
 func survival(output float64, r Run) float64 {
