--- /dev/null
+++ b/internal/leadership/leadership_test.go
@@ -0,0 +1,153 @@
+package leadership
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+)
+
+// fakeStore keeps one key and its lease.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	holder   uint64
+	until    map[uint64]time.Time
+	next     uint64
+	down     bool
+}
+
+const lease = 3 * time.Second
+
+func (s *fakeStore) call() (func(), error) {
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return nil, errors.New("store is down")
+	}
+	if s.holder != 0 && time.Now().After(s.until[s.holder]) {
+		s.holder = 0
+	}
+	return s.mu.Unlock, nil
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (uint64, error) {
+	done, err := s.call()
+	if err != nil {
+		return 0, err
+	}
+	defer done()
+	s.next++
+	s.until[s.next] = time.Now().Add(lease)
+	return s.next, nil
+}
+
+func (s *fakeStore) Renew(_ context.Context, id uint64) error {
+	done, err := s.call()
+	if err != nil {
+		return err
+	}
+	defer done()
+	if time.Now().After(s.until[id]) {
+		return ErrLeaseEnded
+	}
+	s.until[id] = time.Now().Add(lease)
+	return nil
+}
+
+func (s *fakeStore) End(_ context.Context, id uint64) error {
+	done, err := s.call()
+	if err != nil {
+		return err
+	}
+	defer done()
+	s.until[id] = time.Time{}
+	return nil
+}
+
+func (s *fakeStore) Create(_ context.Context, _ string, _ []byte, id uint64) (uint64, bool, error) {
+	done, err := s.call()
+	if err != nil {
+		return 0, false, err
+	}
+	defer done()
+	if s.holder != 0 {
+		return 0, false, nil
+	}
+	s.holder = id
+	s.revision++
+	return s.revision, true, nil
+}
+
+func (s *fakeStore) Read(context.Context, string) ([]byte, uint64, error) {
+	done, err := s.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer done()
+	if s.holder == 0 {
+		return nil, 0, nil
+	}
+	return nil, s.revision, nil
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Guards against two holders at one time: while the store is down the holder
+// stops by itself before its lease ends, and tokens only grow.
+func TestOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{until: make(map[uint64]time.Time)}
+		start := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		var electors []*Elector
+		var wait sync.WaitGroup
+		for range 3 {
+			e := New(Options{
+				Store: store, Key: "k", Lease: lease, Free: func() bool { return true }, Logger: log.New(io.Discard),
+				Clock: func() time.Duration { return time.Since(start) },
+			})
+			electors = append(electors, e)
+			wait.Go(func() { _ = e.Run(ctx) })
+		}
+		var fences []uint64
+		for step := range 600 {
+			time.Sleep(50 * time.Millisecond)
+			store.setDown(step >= 200 && step < 320)
+			holders := 0
+			for _, e := range electors {
+				if term, ok := e.Term(); ok {
+					holders++
+					if n := len(fences); n == 0 || fences[n-1] != term.Fence {
+						fences = append(fences, term.Fence)
+					}
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders at %v", holders, time.Since(start))
+			}
+			if step == 319 && holders != 0 {
+				t.Error("a holder is sure of its right 6s after the store went down")
+			}
+		}
+		cancel()
+		wait.Wait()
+		if len(fences) < 2 {
+			t.Errorf("terms %v; want a new one after the outage", fences)
+		}
+		for i := 1; i < len(fences); i++ {
+			if fences[i] <= fences[i-1] {
+				t.Errorf("fencing tokens %v do not grow", fences)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+const gatewaySettings = `instance: g1
+failure_domain: a
+store_address: 10.0.0.1:80
+listen: {client: "10.0.0.2:1", ready: "10.0.0.2:2", peer: "10.0.0.2:3", admin: "10.0.0.2:4"}
+`
+
+// Guards that each fault of a gateway's settings is reported with its key.
+func TestParseGateway(t *testing.T) {
+	if _, err := ParseGateway("s", []byte(gatewaySettings)); err != nil {
+		t.Fatalf("sound settings: %v", err)
+	}
+	for text, want := range map[string]string{
+		strings.Replace(gatewaySettings, "instance: g1", "", 1):             "instance",
+		strings.Replace(gatewaySettings, "10.0.0.2:2", "10.0.0.2:1", 1):     "listen.ready",
+		strings.Replace(gatewaySettings, "10.0.0.1:80", "store", 1):         "store_address",
+		gatewaySettings + "shutdown: {grace: 8}\n":                          "shutdown.grace",
+		gatewaySettings + "retries: {ratio: 2}\n":                           "retries.ratio",
+		gatewaySettings + "speed: 9\n":                                      "speed",
+		gatewaySettings + "memory: {limit: 1MB}\n":                          "memory.limit",
+		strings.Replace(gatewaySettings, "listen:", "listen: 7\nother:", 1): "listen",
+	} {
+		if _, err := ParseGateway("s", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("settings\n%s\nerror %v; want one that names %s", text, err, want)
+		}
+	}
+}
+
+// Guards the template from which the platform writes the settings: with values in
+// place of its fields it must be valid.
+func TestGatewayTemplate(t *testing.T) {
+	text, err := os.ReadFile("../../platform/gateway.yaml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := strings.NewReplacer(
+		"{{node-name}}", "front-lakes-a-1", "{{zone}}", "lakes-a", "{{region}}", "lakes",
+		"{{platform.address}}", "10.200.1.7:8142", "{{listen.front}}", "10.1.0.35:8144",
+		"{{listen.ready-addr}}", "10.1.0.35:8140", "{{ip}}", "10.1.0.35",
+		"{{internal-ports.0}}", "7660", "{{internal-ports.1}}", "7675", "{{limits.memory-mb}}", "134",
+		"{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.budget-window-s}}", "10", "{{bounds.budget-slack}}", "54",
+		"{{bounds.lease-ms}}", "3000", "{{bounds.grace-s}}", "8", "{{bounds.drain-ms}}", "2000",
+	)
+	s, err := ParseGateway("template", []byte(values.Replace(string(text))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Retries.Slack != 54 || s.Shutdown.Grace.Seconds() != 8 || s.Memory.Limit != 134*Megabyte {
+		t.Errorf("settings %+v", s)
+	}
+}
