--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -56,8 +56,9 @@
 	Pool         *exchange.Pool
 	Logger       *log.Logger
 
-	ClientListener, ReadyListener, AdminListener net.Listener
-	PeerConn                                     net.PacketConn
+	ClientListener, ReadyListener, ControlListener, AdminListener net.Listener
+
+	PeerConn net.PacketConn
 	// Reload tells that the settings file may have changed; nil: only the file's
 	// time tells.
 	Reload <-chan os.Signal
@@ -135,8 +136,10 @@
 		},
 		Apply:       f.apply,
 		Contact:     f.contact,
+		Fallback:    seedReader{pool: p.Pool, own: p.Settings.Listen.Control, seeds: p.Settings.Seeds}.read,
 		MinInterval: storeReadInterval,
 	})
+	serveHTTP(p.ControlListener, controlHandler(m), p.Logger, lc)
 	lc.Append(fx.StartHook(func() { b.run("store", m.Run) }))
 }
 
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -117,6 +117,9 @@
 	if p.AdminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
 		return p, err
 	}
+	if p.ControlListener, err = net.Listen("tcp", s.Listen.Control); err != nil {
+		return p, err
+	}
 	p.PeerConn, err = net.ListenPacket("udp", s.Listen.Peer)
 	return p, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,8 @@
 	switch {
 	case call.Route.Model && call.Service.Engine != nil:
 		res = g.serveModel(ctx, w, call)
+	case call.Route.Kind == routing.Stream:
+		res = g.servePlainStream(ctx, w, call)
 	default:
 		res = g.servePlain(ctx, w, call)
 	}
@@ -138,7 +140,7 @@
 	prefillAt        string
 	reserve, prefill time.Duration
 	tries            int
-	events           int
+	events, resumes  int
 	medianOutput     int
 }
 
@@ -325,7 +327,7 @@
 	if c.Route.Model {
 		s := res.steps
 		fields = append(fields, "prefill_at", s.prefillAt, "reserve_ms", s.reserve.Milliseconds(),
-			"prefill_ms", s.prefill.Milliseconds(), "reserve_tries", s.tries, "events", s.events,
+			"prefill_ms", s.prefill.Milliseconds(), "reserve_tries", s.tries, "events", s.events, "resumes", s.resumes,
 			"prompt_tokens", c.Model.PromptTokens, "max_output_tokens", c.Model.MaxOutputTokens,
 			"expected_output_tokens", c.Model.ExpectedOutputTokens, "median_output_tokens", s.medianOutput, "age_ms", c.Age.Milliseconds())
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -50,6 +50,9 @@
 			return
 		}
 		if m.relay != nil {
+			if m.resumes(ctx, err) {
+				continue
+			}
 			m.res.abort = err
 			return
 		}
@@ -60,6 +63,27 @@
 	}
 }
 
+// resumes reports whether a broken stream goes on at another engine, after the
+// last event that was passed on.
+func (m *modelRun) resumes(ctx context.Context, err error) bool {
+	var refusal *fault.Error
+	gone := ctx.Err() != nil || errors.Is(err, errClientGone) || errors.As(err, &refusal)
+	if gone || !m.call.Route.Resumable || m.res.attempts >= m.call.Route.MaxAttempts {
+		return false
+	}
+	if !m.g.budget.Spend(m.call.Service.Name, time.Now(), 0) {
+		return false
+	}
+	m.relay.dropPending()
+	if id := m.relay.lastID; id != "" {
+		m.call.ResumeAfter = id
+	}
+	m.res.steps.resumes++
+	m.g.Logger.Info("stream resumed at another engine", "request", m.call.ID, "broken_at", m.res.upstream,
+		"after_event", m.call.ResumeAfter, "cause", err.Error())
+	return true
+}
+
 // failure is the gateway's own answer when no engine's answer has begun.
 func (m *modelRun) failure(ctx context.Context, err error, mayHaveRun bool) *fault.Error {
 	var refusal *fault.Error
@@ -206,10 +230,14 @@
 		return true, errors.Errorf("decode refused with status %d", r.resp.Status)
 	}
 	defer func() { _ = r.resp.Body.Close() }()
-	m.res.status = r.resp.Status
-	m.relay = newStreamRelay(m.w)
-	m.g.writeHead(m.w, r.resp)
-	m.w.WriteHeader(r.resp.Status)
+	if m.relay == nil {
+		m.res.status = r.resp.Status
+		m.relay = newStreamRelay(m.w)
+		m.g.writeHead(m.w, r.resp)
+		m.w.WriteHeader(r.resp.Status)
+	} else if r.resp.Status != http.StatusOK {
+		return false, errors.Errorf("resumed stream refused with status %d", r.resp.Status)
+	}
 	m.g.scheduler.load.started(u, place.run, time.Now())
 	if p == nil {
 		m.relay.onFirst = place.prefillDone
@@ -243,6 +271,8 @@
 	pending []byte
 	first   time.Time
 	events  int
+	// lastID is the id of the last event that was passed on.
+	lastID string
 	// onFirst is called with the first event.
 	onFirst func()
 }
@@ -258,6 +288,21 @@
 	return s.first.Sub(began)
 }
 
+var idField = []byte("id:")
+
+// noteID remembers the last event id in the events.
+func (s *streamRelay) noteID(events []byte) {
+	i := bytes.LastIndex(events, idField)
+	if i < 0 || (i > 0 && events[i-1] != '\n') {
+		return
+	}
+	line, _, _ := bytes.Cut(events[i+len(idField):], []byte("\n"))
+	s.lastID = string(bytes.TrimSpace(line))
+}
+
+// dropPending forgets an event that has arrived in part only.
+func (s *streamRelay) dropPending() { s.pending = s.pending[:0] }
+
 // relayBytes is the read buffer of a relayed stream.
 const relayBytes = 4 << 10
 
@@ -302,6 +347,7 @@
 		}
 	}
 	s.events += bytes.Count(s.pending[:end], eventEnd)
+	s.noteID(s.pending[:end])
 	if _, err := s.w.Write(s.pending[:end]); err != nil {
 		return err
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -71,7 +71,7 @@
 	// callTimeout bounds a call beyond the time that the store may block it.
 	callTimeout = 700 * time.Millisecond
 	// slowCallTimeout bounds calls after one timed out: a slow store still answers.
-	slowCallTimeout = 3 * time.Second
+	slowCallTimeout = 1500 * time.Millisecond
 	// firstPause and maxPause bound the pause after a failed call.
 	firstPause = 60 * time.Millisecond
 	maxPause   = 400 * time.Millisecond
@@ -95,6 +95,9 @@
 	Apply func(View)
 	// Contact is called when the store is lost or regained.
 	Contact func(lost bool, err error)
+	// Fallback returns the entries that another process has, for a start while the
+	// store is away; nil: there is nobody to ask.
+	Fallback func(ctx context.Context) ([]Entry, error)
 	// MinInterval is the shortest time between two watches; changes that come
 	// in quick succession are then read together.
 	MinInterval time.Duration
@@ -116,6 +119,8 @@
 
 	mu       sync.Mutex
 	lastSeen time.Time
+	// known are the entries of the last view.
+	known []Entry
 }
 
 // New returns a mirror that has read nothing yet.
@@ -189,10 +194,39 @@
 		m.lost = true
 		m.o.Contact(true, err)
 	}
+	if m.revision == 0 && m.o.Fallback != nil {
+		m.borrow(ctx)
+	}
 	m.pause = min(maxPause, max(firstPause, m.pause*2))
 	sleep(ctx, m.pause)
 }
 
+// borrow takes the entries of another process until the store can be read. They
+// count as lapsed: the first listing decides which of them exist.
+func (m *Mirror) borrow(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := m.o.Fallback(callCtx)
+	if err != nil || len(entries) == 0 {
+		return // the store is asked again soon, and then the others once more
+	}
+	var changed []string
+	for _, e := range entries {
+		if old, ok := m.entries[e.Key]; !ok || old.Revision < e.Revision {
+			m.entries[e.Key] = e
+			changed = append(changed, e.Key)
+		}
+	}
+	m.publish(changed)
+}
+
+// Known returns the entries of the last view.
+func (m *Mirror) Known() []Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known
+}
+
 func (m *Mirror) list(ctx context.Context) error {
 	found := make(map[string]Item)
 	var revision uint64
@@ -263,7 +297,11 @@
 		changed = append(changed, k)
 	}
 	for k, old := range m.entries {
-		if _, ok := found[k]; !ok && !old.Lapsed && m.remove(k, now) {
+		_, waits := m.lapseEnd[k]
+		if _, ok := found[k]; ok || (old.Lapsed && waits) {
+			continue
+		}
+		if m.remove(k, now) {
 			changed = append(changed, k)
 		}
 	}
@@ -334,9 +372,14 @@
 		return
 	}
 	view := View{Entries: make(map[string]Entry, len(m.entries)), Revision: m.revision, Changed: changed}
+	known := make([]Entry, 0, len(m.entries))
 	for k, e := range m.entries {
 		view.Entries[k] = e
+		known = append(known, e)
 	}
+	m.mu.Lock()
+	m.known = known
+	m.mu.Unlock()
 	m.o.Apply(view)
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -17,14 +17,17 @@
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
 	Region        string `yaml:"region"`
 	// StoreAddress is the host:port of the metadata store.
-	StoreAddress string           `yaml:"store_address" validate:"required"`
-	Listen       GatewayListen    `yaml:"listen"`
-	Memory       GatewayMemory    `yaml:"memory"`
-	Retries      GatewayRetries   `yaml:"retries"`
-	Leadership   Leadership       `yaml:"leadership"`
-	Shutdown     GatewayShutdown  `yaml:"shutdown"`
-	Upstreams    GatewayUpstreams `yaml:"upstreams"`
-	Log          Log              `yaml:"log"`
+	StoreAddress string        `yaml:"store_address" validate:"required"`
+	Listen       GatewayListen `yaml:"listen"`
+	// Seeds are control addresses of gateways, asked at a start while the store is
+	// away, separated by commas; they may be out of date.
+	Seeds      string           `yaml:"seeds"`
+	Memory     GatewayMemory    `yaml:"memory"`
+	Retries    GatewayRetries   `yaml:"retries"`
+	Leadership Leadership       `yaml:"leadership"`
+	Shutdown   GatewayShutdown  `yaml:"shutdown"`
+	Upstreams  GatewayUpstreams `yaml:"upstreams"`
+	Log        Log              `yaml:"log"`
 }
 
 // GatewayListen holds the addresses that a gateway listens on, as IP:port.
@@ -35,6 +38,8 @@
 	Ready string `yaml:"ready" validate:"required"`
 	// Peer serves the other gateways.
 	Peer string `yaml:"peer" validate:"required"`
+	// Control serves starting gateways what this one knows of the store.
+	Control string `yaml:"control" validate:"required"`
 	// Admin serves metrics and the state dump.
 	Admin string `yaml:"admin" validate:"required"`
 }
@@ -103,6 +108,7 @@
 		{"listen.client", s.Listen.Client},
 		{"listen.ready", s.Listen.Ready},
 		{"listen.peer", s.Listen.Peer},
+		{"listen.control", s.Listen.Control},
 		{"listen.admin", s.Listen.Admin},
 	}
 	for i, l := range listeners {
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -9,7 +9,7 @@
 const gatewaySettings = `instance: g1
 failure_domain: a
 store_address: 10.0.0.1:80
-listen: {client: "10.0.0.2:1", ready: "10.0.0.2:2", peer: "10.0.0.2:3", admin: "10.0.0.2:4"}
+listen: {client: "10.0.0.2:1", ready: "10.0.0.2:2", peer: "10.0.0.2:3", control: "10.0.0.2:5", admin: "10.0.0.2:4"}
 `
 
 // Guards that each fault of a gateway's settings is reported with its key.
@@ -43,7 +43,7 @@
 	values := strings.NewReplacer(
 		"{{node-name}}", "front-lakes-a-1", "{{zone}}", "lakes-a", "{{region}}", "lakes",
 		"{{platform.address}}", "10.200.1.7:8142", "{{listen.front}}", "10.1.0.35:8144",
-		"{{listen.ready-addr}}", "10.1.0.35:8140", "{{ip}}", "10.1.0.35",
+		"{{listen.ready-addr}}", "10.1.0.35:8140", "{{listen.control}}", "10.1.0.35:8146", "{{seeds}}", "10.1.0.35:8146,10.2.0.28:8146", "{{ip}}", "10.1.0.35",
 		"{{internal-ports.0}}", "7660", "{{internal-ports.1}}", "7675", "{{limits.memory-mb}}", "134",
 		"{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.budget-window-s}}", "10", "{{bounds.budget-slack}}", "54",
 		"{{bounds.lease-ms}}", "3000", "{{bounds.grace-s}}", "8", "{{bounds.drain-ms}}", "2000",
