Draw upstreams in turn in the plain tests

Cause: TestRepeatableRetries was red once because ten random choices all missed the broken upstream.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -143,10 +143,10 @@
 		done := make(chan struct{})
 		go func() { defer close(done); _ = m.Run(ctx) }()
 		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
 		if s.lists > 40 {
 			t.Errorf("%d calls in 10s of an outage; want at most 40", s.lists)
 		}
-		cancel()
-		<-done
 	})
 }
--- a/internal/plain/fleet_test.go
+++ b/internal/plain/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,7 +78,7 @@
 			runs: map[string]int{}, serve: map[string]http.HandlerFunc{},
 		}
 		client := wire.NewClient(f.net.Dial)
-		f.router = NewRouter(RouterOptions{Config: f, Members: f.view, Client: client, Secret: testSecret, FailureDomain: "a"})
+		f.router = NewRouter(RouterOptions{Config: f, Members: f.view, Client: client, Secret: testSecret, FailureDomain: "a", Draw: inTurn()})
 		for i := range n {
 			f.addService(fmt.Sprintf("s%d", i))
 		}
@@ -92,6 +93,18 @@
 	})
 }
 
+// inTurn draws the numbers below n in turn, so that a few calls try every
+// upstream first. Choices with one outcome take no turn.
+func inTurn() func(n int) int {
+	var turn atomic.Int64
+	return func(n int) int {
+		if n == 1 {
+			return 0
+		}
+		return int(turn.Add(1)) % n
+	}
+}
+
 // useLedger gives the router a ledger on a stand-in key-value service.
 func (f *fleet) useLedger() *kvstore.Store {
 	store := kvstore.NewStore(kvstore.Options{Latency: 3 * time.Millisecond})
--- a/internal/plain/router.go
+++ b/internal/plain/router.go
@@ -31,6 +31,9 @@
 	// Events may be nil.
 	Events *telemetry.FlightLog
 	Logger *log.Logger
+	// Draw returns a number in [0, n) for the choice between upstreams; nil means
+	// at random.
+	Draw func(n int) int
 	// MaxBody limits request bodies in bytes; 0 means 8 MiB.
 	MaxBody int64
 }
@@ -67,7 +70,7 @@
 		events:    o.Events,
 		logger:    o.Logger,
 		maxBody:   o.MaxBody,
-		upstreams: &upstreams{members: o.Members, domain: o.FailureDomain},
+		upstreams: newUpstreams(o.Members, o.FailureDomain, o.Draw),
 		budget:    newRetryBudget(),
 		latencies: newLatencies(),
 	}
--- a/internal/plain/upstreams.go
+++ b/internal/plain/upstreams.go
@@ -21,6 +21,14 @@
 	members membership.View
 	domain  string
 	flights sync.Map // upstream name → *atomic.Int64
+	draw    func(n int) int
+}
+
+func newUpstreams(members membership.View, domain string, draw func(n int) int) *upstreams {
+	if draw == nil {
+		draw = rand.IntN
+	}
+	return &upstreams{members: members, domain: domain, draw: draw}
 }
 
 func (u *upstreams) inFlight(name string) *atomic.Int64 {
@@ -77,11 +85,11 @@
 	if len(from) == 0 {
 		return membership.Member{}, false
 	}
-	i := rand.IntN(len(from))
+	i := u.draw(len(from))
 	if len(from) == 1 {
 		return from[i], true
 	}
-	j := rand.IntN(len(from) - 1)
+	j := u.draw(len(from) - 1)
 	if j >= i {
 		j++
 	}
