--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
@@ -25,6 +26,7 @@
 	"github.com/fescueslip/fescueslip/internal/roles"
 	"github.com/fescueslip/fescueslip/internal/routing"
 	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
 // Adapter is what a deployment's platform gives to a gateway: its store, the
@@ -59,6 +61,8 @@
 	ClientListener, ReadyListener, ControlListener, AdminListener net.Listener
 
 	PeerConn net.PacketConn
+	// LogDropped returns how many log lines were dropped; nil: none ever are.
+	LogDropped func() int64
 	// Reload tells that the settings file may have changed; nil: only the file's
 	// time tells.
 	Reload <-chan os.Signal
@@ -88,7 +92,7 @@
 			newGatewayList,
 			newRolePlans,
 		),
-		fx.Invoke(serveReady, serveGatewayAdmin, followStore, joinGateways, manageRoles, watchSettings, serveClients),
+		fx.Invoke(observeGateway, serveReady, serveGatewayAdmin, followStore, joinGateways, manageRoles, watchSettings, serveClients),
 	)
 }
 
@@ -99,6 +103,32 @@
 	listed atomic.Bool
 }
 
+// observeGateway registers the metrics of the process beside those of requests.
+func observeGateway(p GatewayProcess, meter metric.Meter, t *topology, g *gateway.Gateway) error {
+	gauges := map[string]struct {
+		value func() int64
+		about string
+	}{
+		"fescueslip_gateway_in_flight":      {g.InFlight, "Requests in progress."},
+		"fescueslip_gateway_config_version": {func() int64 { return int64(tableVersion(t.tables)) }, "Version of the configuration in force."},
+		"fescueslip_gateway_upstreams":      {func() int64 { return int64(t.fleet.Snapshot().Len()) }, "Upstreams on the list."},
+		"fescueslip_gateway_connections":    {p.Pool.Opened, "Connections opened to upstreams and the store since the start."},
+	}
+	if p.LogDropped != nil {
+		gauges["fescueslip_gateway_log_dropped"] = struct {
+			value func() int64
+			about string
+		}{p.LogDropped, "Log lines dropped since the start."}
+	}
+	for name, gauge := range gauges {
+		if _, err := meter.Int64ObservableGauge(name, metric.WithDescription(gauge.about),
+			metric.WithInt64Callback(telemetry.Observed(gauge.value))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func newTopology(tables *routing.Holder, f *fleet.Fleet) *topology {
 	return &topology{tables: tables, fleet: f}
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -19,6 +19,7 @@
 type explainCommand struct {
 	admin   adminFlag
 	request string
+	logs    bool
 }
 
 // Explain returns the command that tells one request's way through the processes.
@@ -32,21 +33,30 @@
 
 // Usage implements subcommands.Command.
 func (*explainCommand) Usage() string {
-	return "explain -request ID [-admin host:port,…]\n  ID is the response header X-Request-Id. Exit code 1 when no process remembers it.\n"
+	return `explain -request ID [-admin host:port,…]
+explain -request ID -logs [FILE…]
+  ID is the response header X-Request-Id; behind a gateway, the id that the client
+  sent. With -logs, the request's way is read from log lines in the files, or from
+  standard input. Exit code 1 when nothing is known of the request.
+`
 }
 
 // SetFlags implements subcommands.Command.
 func (e *explainCommand) SetFlags(f *flag.FlagSet) {
 	e.admin.register(f)
 	f.StringVar(&e.request, "request", "", "request id")
+	f.BoolVar(&e.logs, "logs", false, "read log lines of gateways instead of asking processes")
 }
 
 // Execute implements subcommands.Command.
-func (e *explainCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (e *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if e.request == "" {
 		e.admin.env.errorf("explain: name the request with -request ID\n")
 		return subcommands.ExitUsageError
 	}
+	if e.logs {
+		return e.fromLogs(f.Args())
+	}
 	var events []admin.ProcessEvent
 	for _, address := range e.admin.list() {
 		found, err := fetchEvents(ctx, address, e.request)
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -88,6 +88,7 @@
 	}
 	logger = logger.With("instance", s.Instance)
 	p, err := c.process(s, logger)
+	p.LogDropped = lines.Dropped
 	if err != nil {
 		logger.Error("start failed", "err", err)
 		return subcommands.ExitFailure
--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -60,7 +60,7 @@
 	startDemo(t, bin, block*portBlock+80)
 	t.Setenv("PATH", filepath.Dir(bin)+string(os.PathListSeparator)+os.Getenv("PATH"))
 	t.Setenv("REQUEST_ID", sendRequest(t, testPorts))
-	for _, line := range shellLines(t, "../../docs/operations.md") {
+	for _, line := range shellLines(t, "../../docs/OPERATIONS.md") {
 		t.Run(line, func(t *testing.T) {
 			out, err := exec.Command("sh", "-c", strings.ReplaceAll(line, pagePorts, testPorts)).CombinedOutput()
 			if err != nil {
--- a/internal/demo/metrics_test.go
+++ b/internal/demo/metrics_test.go
@@ -80,7 +80,7 @@
 // dashboardRows returns the rows of the page's dashboard that have a query.
 func dashboardRows(t *testing.T) []string {
 	t.Helper()
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,6 @@
 	defer g.bodyBytes.Add(-int64(len(call.Body)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.Deadline.Add(-answerMargin), errDeadline)
 	defer cancel()
-	g.Metrics.began(call)
 	var res outcome
 	switch {
 	case call.Route.Model && call.Service.Engine != nil:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,8 +37,6 @@
 	return out, errors.Join(errs[:]...)
 }
 
-func (m *Metrics) began(*Call) {}
-
 func (m *Metrics) refused(kind fault.Kind) {
 	if m == nil {
 		return
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -56,6 +56,13 @@
 			m.res.abort = err
 			return
 		}
+		var refusal *fault.Error
+		if errors.As(err, &refusal) {
+			m.res.err = refusal
+			return
+		}
+		m.g.Logger.Info("attempt failed", "request", m.call.ID, "upstream", m.res.upstream, "prefill_at", m.res.steps.prefillAt,
+			"may_have_run", !retry, "cause", err.Error())
 		if !retry || ctx.Err() != nil || !m.g.budget.Spend(m.call.Service.Name, time.Now(), retryReserve) {
 			m.res.err = m.failure(ctx, err, !retry)
 			return
@@ -86,10 +93,6 @@
 
 // failure is the gateway's own answer when no engine's answer has begun.
 func (m *modelRun) failure(ctx context.Context, err error, mayHaveRun bool) *fault.Error {
-	var refusal *fault.Error
-	if errors.As(err, &refusal) {
-		return refusal
-	}
 	if !mayHaveRun {
 		return refuseOverloaded(m.g.modelRetryAfter(), "no engine took the request").WithCause(err)
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -203,6 +203,7 @@
 	hold, err := s.g.Engines.Reserve(callCtx, u, s.holdTokens(w), reserveLife)
 	if err == nil {
 		gr.hold = hold
+		s.logPlaced(w, u, gr)
 		w.granted <- gr
 		return
 	}
@@ -227,3 +228,13 @@
 	}
 	s.kick()
 }
+
+// logPlaced tells where a request goes and what decided it.
+func (s *scheduler) logPlaced(w *waiter, u *fleet.Upstream, gr grant) {
+	now := time.Now()
+	curve, runs, _ := s.load.outlook(u, now)
+	s.g.Logger.Info("request placed", "request", w.call.ID, "upstream", u.Facts().ID, "prefill_at", gr.prefill.Facts().ID,
+		"waited_ms", now.Sub(w.call.Received).Milliseconds(), "slack_ms", w.state.Slack.Milliseconds(),
+		"median_output_tokens", int(w.median), "engine_runs", runs, "engine_peak_tokens", int(curve.Peak()),
+		"peers_heard", s.load.heardPeers(), "peers_listed", s.g.Listed()-1, "fleet_revision", s.g.Fleet.Snapshot().Revision)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -140,6 +140,7 @@
 	if ctx.Err() != nil || p.active > 0 {
 		return false
 	}
+	p.g.logAttempt(p.call, r)
 	neverSent := r.err != nil && !r.mayHaveRun
 	if neverSent {
 		if p.unsent++; p.unsent > maxUnsent {
@@ -156,6 +157,19 @@
 	return p.start(ctx)
 }
 
+// logAttempt tells why a send did not give the answer.
+func (g *Gateway) logAttempt(c *Call, r *reply) {
+	status, cause := 0, ""
+	if r.resp != nil {
+		status = r.resp.Status
+	}
+	if r.err != nil {
+		cause = r.err.Error()
+	}
+	g.Logger.Info("attempt failed", "request", c.ID, "upstream", r.upstream.Facts().ID, "status", status,
+		"may_have_run", r.mayHaveRun, "ms", r.took.Milliseconds(), "cause", cause)
+}
+
 // start sends the call to the best upstream that has not been tried.
 func (p *plainRun) start(ctx context.Context) bool {
 	u := p.g.choosePlain(p.call.Service.Name, p.tried)
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// asyncBufferBytes bounds the log lines that wait to be written.
-	asyncBufferBytes = 256 << 10
+	// asyncBufferBytes bounds the log lines that wait to be written; with
+	// asyncInterval it bounds the log to 640 KiB a second.
+	asyncBufferBytes = 64 << 10
 	// asyncInterval is how often waiting lines are written.
 	asyncInterval = 100 * time.Millisecond
 )
