--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -77,15 +77,14 @@
 // tryPlace places the request if an engine has room for it; the lock is held.
 func (s *scheduler) tryPlace(ctx context.Context, w *waiter, crowded bool, now time.Time) bool {
 	choice := s.nextPrefill(w.call.Service.Name, now)
-	self := choice.engine == nil
 	if choice.wait > maxPrefillWait {
 		return false
 	}
-	u := s.engineFor(w, crowded, self, now)
+	u := s.engineFor(w, crowded, choice.engine, now)
 	if u == nil {
 		return false
 	}
-	if self {
+	if choice.engine == nil {
 		choice = prefillChoice{engine: u, rate: defaultPrefillRate * selfPrefillShare}
 	}
 	s.place(ctx, w, u, choice, now)
@@ -119,8 +118,9 @@
 }
 
 // engineFor returns the decode engine with the most room for the request, or
-// nil. self asks for one that reads no prompt at the moment.
-func (s *scheduler) engineFor(w *waiter, crowded, self bool, now time.Time) *fleet.Upstream {
+// nil. Without a prefill engine it must read the prompt by itself, and none else
+// at the moment.
+func (s *scheduler) engineFor(w *waiter, crowded bool, prefill *fleet.Upstream, now time.Time) *fleet.Upstream {
 	limit := s.fill.Limit(&w.state, crowded)
 	if limit <= 0 {
 		return nil
@@ -136,7 +136,7 @@
 		if h.Avoid || h.Full || h.Resting {
 			continue
 		}
-		if self && s.readsPrompt(u) {
+		if prefill == nil && s.readsPrompt(u) {
 			continue
 		}
 		curve, runs, rate := s.load.outlook(u, now)
@@ -158,6 +158,9 @@
 		if u.Facts().FailureDomain != s.g.FailureDomain {
 			cost += farCost
 		}
+		if prefill != nil && u.Facts().FailureDomain != prefill.Facts().FailureDomain {
+			cost += farTransferCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
@@ -173,9 +176,11 @@
 const (
 	// failureCost weighs the failures of an engine against its fill.
 	failureCost = 2.0
-	// farCost weighs another failure domain, to which events and KV cache cost
-	// more, against the fill.
-	farCost = 0.02
+	// farCost weighs events that come from another failure domain against the fill.
+	farCost = 0.005
+	// farTransferCost weighs KV cache that is moved to another failure domain
+	// against the fill.
+	farTransferCost = 0.06
 )
 
 // place asks the engine for the reservation; the lock is held.
