--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -10,7 +10,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -31,8 +31,8 @@
 	Life context.Context
 
 	Dial      wire.DialFunc
-	KV        platform.KV
-	Instances platform.Instances
+	KV        kvservice.KV
+	Instances kvservice.Instances
 	Logger    *log.Logger
 }
 
--- a/internal/app/clientserver.go
+++ b/internal/app/clientserver.go
@@ -114,15 +114,6 @@
 	}
 }
 
-// stopKeepAlives lets idle connections end and answers close theirs.
-func (s *clientServer) stopKeepAlives() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range s.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
-}
-
 // close ends everything at once.
 func (s *clientServer) close() {
 	s.closed.Store(true)
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -14,8 +14,8 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
@@ -37,13 +37,13 @@
 var commonModule = fx.Module("common",
 	fx.Provide(
 		func(p Process) *log.Logger { return p.Logger },
-		func(p Process) platform.KV { return p.KV },
+		func(p Process) kvservice.KV { return p.KV },
 		config.NewHolder,
 		func(h *config.Holder) config.Source { return h },
 		membership.NewTable,
 		func(t *membership.Table) membership.View { return t },
 		relay.NewCache,
-		func(kv platform.KV) *configstore.Store { return configstore.New(configstore.Options{KV: kv}) },
+		func(kv kvservice.KV) *configstore.Store { return configstore.New(configstore.Options{KV: kv}) },
 		func() *telemetry.FlightLog { return telemetry.NewFlightLog(flightLogRequests) },
 		newMeter,
 		newPeerClient,
@@ -145,7 +145,7 @@
 	})
 }
 
-func newKeeper(kv platform.KV, logger *log.Logger) *quarantine.Keeper {
+func newKeeper(kv kvservice.KV, logger *log.Logger) *quarantine.Keeper {
 	return quarantine.NewKeeper(kv, logger)
 }
 
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -7,8 +7,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
@@ -22,13 +22,13 @@
 	Dials         int64 `json:"dials"`
 	ListReads     int64 `json:"list_reads"`
 	// KV is absent when the client of the key-value service does not count.
-	KV *platform.CallCounts `json:"kv,omitempty"`
+	KV *kvservice.CallCounts `json:"kv,omitempty"`
 }
 
 // callCounter is a client of the key-value service that counts its calls.
-type callCounter interface{ Counts() platform.CallCounts }
+type callCounter interface{ Counts() kvservice.CallCounts }
 
-func newControlState(t *relay.Traffic, poller *membership.Poller, kv platform.KV) func() controlState {
+func newControlState(t *relay.Traffic, poller *membership.Poller, kv kvservice.KV) func() controlState {
 	return func() controlState {
 		s := controlState{
 			SentBytes:     t.Sent.Load(),
@@ -49,7 +49,7 @@
 
 // observeControl exports the cost of the control traffic, the calls to the
 // key-value service and the state of the relay.
-func observeControl(m metric.Meter, t *relay.Traffic, poller *membership.Poller, kv platform.KV, r *relay.Relay, table *membership.Table) error {
+func observeControl(m metric.Meter, t *relay.Traffic, poller *membership.Poller, kv kvservice.KV, r *relay.Relay, table *membership.Table) error {
 	return errors.Join(
 		observeTraffic(m, t, poller),
 		observeCalls(m, kv),
@@ -75,7 +75,7 @@
 	return errors.Join(err, dialErr, listErr)
 }
 
-func observeCalls(m metric.Meter, kv platform.KV) error {
+func observeCalls(m metric.Meter, kv kvservice.KV) error {
 	counter, ok := kv.(callCounter)
 	if !ok {
 		return nil
@@ -92,7 +92,7 @@
 	return err
 }
 
-func observeKind(o metric.Int64Observer, kind string, c platform.Counts) {
+func observeKind(o metric.Int64Observer, kind string, c kvservice.Counts) {
 	results := []struct {
 		name  string
 		count uint64
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -12,11 +12,11 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/entry"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/ledger"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/peer"
 	"github.com/fescueslip/fescueslip/internal/plain"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/settings"
@@ -54,7 +54,7 @@
 	return l
 }
 
-func newLedger(p Process, c peerClient, view membership.View, kv platform.KV, logger *log.Logger) *ledger.Ledger {
+func newLedger(p Process, c peerClient, view membership.View, kv kvservice.KV, logger *log.Logger) *ledger.Ledger {
 	return ledger.New(ledger.Options{
 		KV:      kv,
 		Members: view,
--- a/internal/app/gateways.go
+++ b/internal/app/gateways.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync"
@@ -126,7 +127,7 @@
 	keeper := &presence.Keeper{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Logger: p.Logger}
 	node := gossip.New(gossip.Options{
 		Name:        p.Settings.Instance,
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: rand.Uint64(),
 		Conn:        p.PeerConn,
 		Peers:       l.others,
 		State:       g.PeerState,
--- a/internal/app/sidecar.go
+++ b/internal/app/sidecar.go
@@ -11,8 +11,8 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/engine"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/plain"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/sidecar"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
@@ -31,7 +31,7 @@
 	Background *background
 	Config     config.Source
 	Holder     *config.Holder
-	KV         platform.KV
+	KV         kvservice.KV
 	Events     *telemetry.FlightLog
 	Meter      metric.Meter
 	Logger     *log.Logger
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/memnet"
 	"github.com/fescueslip/fescueslip/internal/peer"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/standin/instances"
@@ -63,7 +63,7 @@
 	keeper  *quarantine.Keeper
 	relay   *relay.Relay
 	poller  *membership.Poller
-	kv      *platform.Client
+	kv      *kvservice.Client
 	traffic *relay.Traffic
 	state   membership.State
 	past    int64 // bytes of earlier incarnations
@@ -144,8 +144,8 @@
 	}
 }
 
-func (f *fleet) newKV(dial platform.DialFunc) *platform.Client {
-	kv, err := platform.NewClient(platform.ClientOptions{URL: "http://kv:80", Dial: dial})
+func (f *fleet) newKV(dial kvservice.DialFunc) *kvservice.Client {
+	kv, err := kvservice.NewClient(kvservice.ClientOptions{URL: "http://kv:80", Dial: dial})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -228,7 +228,7 @@
 	p.table, p.holder, p.traffic = membership.NewTable(), config.NewHolder(), new(relay.Traffic)
 	p.kv = f.newKV(p.dial)
 	p.keeper = quarantine.NewKeeper(p.kv, logger)
-	list, err := platform.NewInstancesClient(platform.InstancesOptions{URL: "http://list:80", Dial: p.dial})
+	list, err := kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: "http://list:80", Dial: p.dial})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/capacity/memory_test.go
+++ b/internal/capacity/memory_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/relay"
 	"github.com/fescueslip/fescueslip/internal/standin/instances"
 	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
@@ -241,7 +241,7 @@
 		server.Register(instances.Instance{Name: m.Name, Role: m.Role, Upstream: m.Upstream, FailureDomain: m.FailureDomain,
 			Region: m.Region, PeerAddress: m.PeerAddress, AdminAddress: m.AdminAddress, Incarnation: m.Incarnation})
 	}
-	client, err := platform.NewInstancesClient(platform.InstancesOptions{URL: "http://" + l.Addr().String()})
+	client, err := kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: "http://" + l.Addr().String()})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cli/env.go
+++ b/internal/cli/env.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // exitFaults is the exit code when the input of a command has faults.
@@ -20,7 +20,7 @@
 	Stdout io.Writer
 	Stderr io.Writer
 	// Dial opens connections; nil means TCP.
-	Dial platform.DialFunc
+	Dial kvservice.DialFunc
 }
 
 // OSEnv is the environment of the process.
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
@@ -53,7 +53,7 @@
 	if err := c.resolve(); err != nil {
 		return c.fail(err)
 	}
-	kv, err := platform.NewClient(platform.ClientOptions{URL: c.kv, Dial: c.env.Dial})
+	kv, err := kvservice.NewClient(kvservice.ClientOptions{URL: c.kv, Dial: c.env.Dial})
 	if err != nil {
 		return c.fail(err)
 	}
@@ -79,7 +79,7 @@
 	return subcommands.ExitSuccess
 }
 
-func (c *quarantineCommand) remove(ctx context.Context, kv platform.KV) subcommands.ExitStatus {
+func (c *quarantineCommand) remove(ctx context.Context, kv kvservice.KV) subcommands.ExitStatus {
 	var f quarantine.Fingerprint
 	if err := f.UnmarshalText([]byte(c.lift)); err != nil {
 		return c.fail(err)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,7 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/app"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/strictyaml"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
@@ -84,10 +84,10 @@
 		Dial:     wire.DefaultDial(),
 		Logger:   logger.With("instance", s.Instance),
 	}
-	if p.KV, err = platform.NewClient(platform.ClientOptions{URL: s.Platform.KV}); err != nil {
+	if p.KV, err = kvservice.NewClient(kvservice.ClientOptions{URL: s.Platform.KV}); err != nil {
 		return p, err
 	}
-	if p.Instances, err = platform.NewInstancesClient(platform.InstancesOptions{URL: s.Platform.Instances}); err != nil {
+	if p.Instances, err = kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: s.Platform.Instances}); err != nil {
 		return p, err
 	}
 	p.Incarnation = incarnation(ctx, p)
--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -10,13 +10,13 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/fescueslip/fescueslip/internal/app"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 )
 
-type fixedList []platform.Instance
+type fixedList []kvservice.Instance
 
-func (l fixedList) List(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l fixedList) List(context.Context) ([]kvservice.Instance, error) { return l, nil }
 
 // Guards against a process that its peers take for its earlier life, because
 // the clock stepped back between the two.
--- a/internal/cli/ticket.go
+++ b/internal/cli/ticket.go
@@ -11,7 +11,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/strictyaml"
 )
@@ -100,7 +100,7 @@
 	if err := s.resolve(); err != nil {
 		return nil, nil, err
 	}
-	client, err := platform.NewClient(platform.ClientOptions{URL: s.kv, Dial: s.env.Dial})
+	client, err := kvservice.NewClient(kvservice.ClientOptions{URL: s.kv, Dial: s.env.Dial})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -129,7 +129,7 @@
 		return problem{Kind: string(refusal.Kind), Message: refusal.Message, Remedy: refusal.Remedy, Refusal: refusal}
 	case errors.As(err, &store) && store.Unknown:
 		return problem{Kind: "outcome_unknown", Message: err.Error()}
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, kvservice.ErrUnavailable):
 		return problem{Kind: "store_unavailable", Message: err.Error()}
 	default:
 		return problem{Kind: "failed", Message: err.Error()}
--- a/internal/cli/ticket_status.go
+++ b/internal/cli/ticket_status.go
@@ -17,7 +17,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 const (
@@ -142,7 +142,7 @@
 	if c.instances == "" {
 		c.instances = c.kv
 	}
-	client, err := platform.NewInstancesClient(platform.InstancesOptions{URL: c.instances, Dial: c.env.Dial})
+	client, err := kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: c.instances, Dial: c.env.Dial})
 	if err != nil {
 		return err
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read the instance list; check -instances")
 	}
-	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b kvservice.Instance) int { return strings.Compare(a.Name, b.Name) })
 	answers := make([]instanceStatus, len(list))
 	httpClient := &http.Client{Transport: &http.Transport{DialContext: c.env.Dial}, Timeout: statusTimeout}
 	defer httpClient.CloseIdleConnections()
@@ -177,7 +177,7 @@
 	return nil
 }
 
-func askInstance(ctx context.Context, client *http.Client, instance platform.Instance) instanceStatus {
+func askInstance(ctx context.Context, client *http.Client, instance kvservice.Instance) instanceStatus {
 	answer := instanceStatus{Instance: instance.Name, AdminAddress: instance.AdminAddress, Leaving: instance.Leaving}
 	revision, err := fetchRevision(ctx, client, instance.AdminAddress)
 	if err != nil {
--- a/internal/configstore/accept.go
+++ b/internal/configstore/accept.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fescueslip/fescueslip/internal/config"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 const (
@@ -105,7 +105,7 @@
 }
 
 func retryable(err error) bool {
-	return errors.Is(err, errConflict) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOverBudget)
+	return errors.Is(err, errConflict) || errors.Is(err, kvservice.ErrUnavailable) || errors.Is(err, kvservice.ErrOverBudget)
 }
 
 func (a *acceptance) try(ctx context.Context) error {
@@ -186,7 +186,7 @@
 	a.result.BytesWritten += len(data)
 	swapped, err := a.store.kv.CompareAndSwap(ctx, HeadKey, data, state.Index)
 	if err != nil {
-		if errors.Is(err, platform.ErrUnavailable) {
+		if errors.Is(err, kvservice.ErrUnavailable) {
 			a.ambiguous, a.base = true, state
 		}
 		return errors.Wrap(err, "write configuration head")
--- a/internal/configstore/encoding.go
+++ b/internal/configstore/encoding.go
@@ -19,7 +19,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // Keys of the key-value service.
@@ -239,4 +239,4 @@
 
 // headFits guards the limit of the service; maxBuckets and maxRecords keep the
 // head well below it.
-func headFits(data []byte) bool { return len(data) <= platform.MaxValueBytes }
+func headFits(data []byte) bool { return len(data) <= kvservice.MaxValueBytes }
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fescueslip/fescueslip/internal/config"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 const (
@@ -25,7 +25,7 @@
 // Store reads and changes the configuration in the key-value service. It is
 // safe for concurrent use.
 type Store struct {
-	kv platform.KV
+	kv kvservice.KV
 
 	mu sync.Mutex
 	// pages caches the pages of the last head that was read.
@@ -34,7 +34,7 @@
 
 // Options configures a Store.
 type Options struct {
-	KV platform.KV
+	KV kvservice.KV
 }
 
 // New returns a store.
@@ -156,7 +156,7 @@
 
 // complete reads the pages of a head. A page that is missing or blank means that
 // the head was replaced meanwhile, so the newer head is read.
-func (s *Store) complete(ctx context.Context, entry platform.Entry, pages wanted) (*State, error) {
+func (s *Store) complete(ctx context.Context, entry kvservice.Entry, pages wanted) (*State, error) {
 	var missing *PageError
 	for range loadTries {
 		state, err := s.fetchPages(ctx, entry, pages)
@@ -175,7 +175,7 @@
 	return nil, errors.Wrap(missing, "read configuration pages")
 }
 
-func (s *Store) fetchPages(ctx context.Context, entry platform.Entry, wanted wanted) (*State, error) {
+func (s *Store) fetchPages(ctx context.Context, entry kvservice.Entry, wanted wanted) (*State, error) {
 	head, err := DecodeHead(entry.Value)
 	if err != nil {
 		return nil, err
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -16,7 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/config"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
 	"github.com/fescueslip/fescueslip/internal/standin/kvstore/kvmem"
 )
@@ -24,7 +24,7 @@
 // testKV is the stand-in service with a hook before each write.
 type testKV struct {
 	*kvstore.Store
-	platform.KV
+	kvservice.KV
 	beforeSwap func(key string)
 	mu         sync.Mutex
 	sizes      map[string]int
@@ -36,11 +36,11 @@
 	return &testKV{Store: store, KV: kvmem.New(store), sizes: make(map[string]int)}
 }
 
-func (k *testKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (k *testKV) Get(ctx context.Context, key string) (kvservice.Entry, error) {
 	return k.KV.Get(ctx, key)
 }
 
-func (k *testKV) Watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+func (k *testKV) Watch(ctx context.Context, key string, after uint64) (kvservice.Entry, error) {
 	return k.KV.Watch(ctx, key, after)
 }
 
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -15,7 +15,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/standin/booking"
 	"github.com/fescueslip/fescueslip/internal/standin/control"
@@ -256,7 +256,7 @@
 	if err != nil {
 		return errors.Wrap(err, "first ticket")
 	}
-	kv, err := platform.NewClient(platform.ClientOptions{URL: "http://" + f.kv.Addr().String(), Dial: f.network.Dial})
+	kv, err := kvservice.NewClient(kvservice.ClientOptions{URL: "http://" + f.kv.Addr().String(), Dial: f.network.Dial})
 	if err != nil {
 		return err
 	}
--- a/internal/demo/node.go
+++ b/internal/demo/node.go
@@ -11,7 +11,7 @@
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/app"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
 	"github.com/fescueslip/fescueslip/internal/standin/instances"
 )
@@ -76,11 +76,11 @@
 	if err := n.listen(&p); err != nil {
 		return p, err
 	}
-	kv, err := platform.NewClient(platform.ClientOptions{URL: s.Platform.KV, Dial: n.host.dial})
+	kv, err := kvservice.NewClient(kvservice.ClientOptions{URL: s.Platform.KV, Dial: n.host.dial})
 	if err != nil {
 		return p, err
 	}
-	list, err := platform.NewInstancesClient(platform.InstancesOptions{URL: s.Platform.Instances, Dial: n.host.dial})
+	list, err := kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: s.Platform.Instances, Dial: n.host.dial})
 	if err != nil {
 		return p, err
 	}
--- a/internal/demo/operators_test.go
+++ b/internal/demo/operators_test.go
@@ -10,13 +10,13 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/configstore"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // operator applies tickets that race with those of other operators: all draw
 // their numbers from the same small range and touch the same object.
 func (w *watch) operator(ctx context.Context, name string, r *rand.Rand, tickets int, gap time.Duration) error {
-	kv, err := platform.NewClient(platform.ClientOptions{URL: "http://" + w.fleet.kv.Addr().String(), Dial: w.fleet.network.Dial})
+	kv, err := kvservice.NewClient(kvservice.ClientOptions{URL: "http://" + w.fleet.kv.Addr().String(), Dial: w.fleet.network.Dial})
 	if err != nil {
 		return err
 	}
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -19,9 +19,6 @@
 	closed   bool
 }
 
-// longAgo is a deadline that has passed; it ends blocked reads and writes.
-var longAgo = time.Unix(1, 0)
-
 // begin ties the connection to the context of one exchange.
 func (c *conn) begin(ctx context.Context) {
 	c.uses++
@@ -38,7 +35,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.canceled = true
-	_ = c.SetDeadline(longAgo)
+	// A deadline that has passed ends blocked reads and writes.
+	_ = c.SetDeadline(time.Now())
 	c.closeLocked()
 }
 
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -26,6 +26,8 @@
 	limits RetryLimits
 	// gateways returns how many gateways share the slack.
 	gateways func() int
+	// start is the beginning of the first slot, on the monotonic clock.
+	start time.Time
 
 	mu        sync.Mutex
 	byService map[string]*window
@@ -42,7 +44,7 @@
 
 // NewBudget returns an empty budget.
 func NewBudget(limits RetryLimits, gateways func() int) *Budget {
-	return &Budget{limits: limits, gateways: gateways, byService: make(map[string]*window)}
+	return &Budget{limits: limits, gateways: gateways, start: time.Now(), byService: make(map[string]*window)}
 }
 
 func (b *Budget) slot(service string, now time.Time) (*window, *windowSlot) {
@@ -51,7 +53,8 @@
 		w = &window{}
 		b.byService[service] = w
 	}
-	number := now.UnixNano() / int64(b.limits.Window/budgetBuckets)
+	// Slot 0 is the empty one.
+	number := int64(max(0, now.Sub(b.start))/(b.limits.Window/budgetBuckets)) + 1
 	s := &w.slots[int(number%int64(len(w.slots)))]
 	if s.number != number {
 		*s = windowSlot{number: number}
--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -14,7 +14,7 @@
 	for i := range budgets {
 		budgets[i] = NewBudget(limits, func() int { return gateways })
 	}
-	start := time.Unix(1000, 0)
+	start := time.Now()
 	var spent []time.Time
 	requests := 0
 	for step := range 4000 {
@@ -47,7 +47,7 @@
 // Guards what is kept back for more important repeats.
 func TestBudgetReserve(t *testing.T) {
 	b := NewBudget(RetryLimits{Ratio: 0, Window: 10 * time.Second, Slack: 20}, func() int { return 1 })
-	now := time.Unix(1000, 0)
+	now := time.Now()
 	hedges := 0
 	for b.Spend("s", now, 0.5) {
 		hedges++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,8 +40,8 @@
 type Gateway struct {
 	Options
 	budget *Budget
-	// leavingSince is when the shutdown began, in Unix nanoseconds; 0: not yet.
-	leavingSince atomic.Int64
+	// leavingSince is when the shutdown began; nil: not yet.
+	leavingSince atomic.Pointer[time.Time]
 	inFlight     atomic.Int64
 	bodyBytes    atomic.Int64
 	scheduler    *scheduler
@@ -78,14 +78,14 @@
 
 // Leave begins the shutdown: answers close their connections, and after a grace
 // period new requests are refused.
-func (g *Gateway) Leave(now time.Time) { g.leavingSince.CompareAndSwap(0, now.UnixNano()) }
+func (g *Gateway) Leave(now time.Time) { g.leavingSince.CompareAndSwap(nil, &now) }
 
 // Leaving reports whether the shutdown has begun.
-func (g *Gateway) Leaving() bool { return g.leavingSince.Load() != 0 }
+func (g *Gateway) Leaving() bool { return g.leavingSince.Load() != nil }
 
 func (g *Gateway) refusesNew(now time.Time) bool {
 	since := g.leavingSince.Load()
-	return since != 0 && now.Sub(time.Unix(0, since)) > leavingGrace
+	return since != nil && now.Sub(*since) > leavingGrace
 }
 
 // InFlight returns the number of requests in progress.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -26,13 +26,13 @@
 	// heardLife is how long a peer that is missing on the list is told because
 	// it was heard.
 	heardLife = 3 * time.Second
-	// resetAfter is how long after its last word a peer may begin its sequence anew.
-	resetAfter = 2 * time.Second
 )
 
 // Options configure a node.
 type Options struct {
-	Name        string
+	Name string
+	// Incarnation tells lives of the process apart; it is drawn at random, since
+	// clocks may step back between two lives.
 	Incarnation uint64
 	Conn        net.PacketConn
 	// Peers returns the addresses of the other gateways by name.
@@ -60,7 +60,9 @@
 type contact struct {
 	address               net.Addr
 	incarnation, sequence uint64
-	last                  time.Time
+	// former is the incarnation before; its late datagrams are dropped.
+	former uint64
+	last   time.Time
 }
 
 // New returns a node.
@@ -196,11 +198,17 @@
 		n.heard[m.sender] = c
 		n.o.Logger.Info("gateway heard", "peer", m.sender, "address", from.String())
 	}
-	older := m.incarnation < c.incarnation || (m.incarnation == c.incarnation && m.sequence <= c.sequence)
-	if known && older && now.Sub(c.last) < resetAfter {
+	switch {
+	case !known || m.incarnation == c.incarnation:
+		if m.sequence <= c.sequence {
+			return false
+		}
+	case m.incarnation == c.former:
 		return false
+	default:
+		c.former = c.incarnation
 	}
-	*c = contact{address: from, incarnation: m.incarnation, sequence: m.sequence, last: now}
+	c.address, c.incarnation, c.sequence, c.last = from, m.incarnation, m.sequence, now
 	return true
 }
 
--- /dev/null
+++ b/internal/gossip/node_test.go
@@ -0,0 +1,30 @@
+package gossip
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// Guards the order of messages: late ones of a life, and of the life before, are
+// dropped; a new life is heard at once whatever its number.
+func TestNewer(t *testing.T) {
+	n := New(Options{Name: "self", Logger: log.New(io.Discard)})
+	from := &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
+	now := time.Now()
+	steps := []struct {
+		incarnation, sequence uint64
+		want                  bool
+	}{
+		{9, 1, true}, {9, 3, true}, {9, 2, false}, {9, 3, false},
+		{4, 1, true}, {9, 4, false}, {4, 2, true}, {7, 1, true}, {4, 3, false},
+	}
+	for i, s := range steps {
+		if got := n.newer(message{sender: "a", incarnation: s.incarnation, sequence: s.sequence}, from, now); got != s.want {
+			t.Errorf("step %d: incarnation %d sequence %d: %v, want %v", i, s.incarnation, s.sequence, got, s.want)
+		}
+	}
+}
--- a/internal/platform/client_test.go
+++ b/internal/kvservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvservice_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/memnet"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/standin/instances"
 	"github.com/fescueslip/fescueslip/internal/standin/kvstore"
 )
@@ -20,11 +20,11 @@
 type service struct {
 	*kvstore.Store
 	network *memnet.Network
-	client  *platform.Client
+	client  *kvservice.Client
 }
 
 // run starts the service in virtual time.
-func run(t *testing.T, o platform.ClientOptions, test func(t *testing.T, s *service)) {
+func run(t *testing.T, o kvservice.ClientOptions, test func(t *testing.T, s *service)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(time.Millisecond)
 		listener, err := network.Listen(address)
@@ -35,7 +35,7 @@
 		server := kvstore.Serve(store, listener, nil)
 		defer server.Close()
 		o.URL, o.Dial = "http://"+address, network.Dial
-		client, err := platform.NewClient(o)
+		client, err := kvservice.NewClient(o)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -54,7 +54,7 @@
 // TestClient guards the protocol: absent keys, keys with odd characters, values
 // with any bytes, and a write with an outdated index.
 func TestClient(t *testing.T) {
-	run(t, platform.ClientOptions{}, func(t *testing.T, s *service) {
+	run(t, kvservice.ClientOptions{}, func(t *testing.T, s *service) {
 		const key, value = "fescueslip/a b?c%d/é", "\x00\xff{}"
 		e, err := s.client.Get(t.Context(), key)
 		if err != nil || e.Index != 0 {
@@ -70,8 +70,8 @@
 				t.Errorf("write at wrong index %d: %t, %v", index, ok, err)
 			}
 		}
-		_, err = s.client.CompareAndSwap(t.Context(), key, make([]byte, platform.MaxValueBytes+1), e.Index)
-		if err == nil || errors.Is(err, platform.ErrUnavailable) {
+		_, err = s.client.CompareAndSwap(t.Context(), key, make([]byte, kvservice.MaxValueBytes+1), e.Index)
+		if err == nil || errors.Is(err, kvservice.ErrUnavailable) {
 			t.Errorf("value over the limit: %v, want an error that tells that nothing was sent", err)
 		}
 	})
@@ -81,7 +81,7 @@
 // absent key, that it returns the unchanged entry at the end of the wait, and
 // that it ends with its context.
 func TestWatch(t *testing.T) {
-	run(t, platform.ClientOptions{}, func(t *testing.T, s *service) {
+	run(t, kvservice.ClientOptions{}, func(t *testing.T, s *service) {
 		time.AfterFunc(time.Second, func() { s.put(t, "k", "1", 0) })
 		e, err := s.client.Watch(t.Context(), "k", 0)
 		if err != nil || string(e.Value) != "1" {
@@ -108,10 +108,10 @@
 // never reported as a definite failure, and that a read survives one lost
 // connection.
 func TestUnavailable(t *testing.T) {
-	run(t, platform.ClientOptions{}, func(t *testing.T, s *service) {
+	run(t, kvservice.ClientOptions{}, func(t *testing.T, s *service) {
 		s.LoseAcks(1)
 		_, err := s.client.CompareAndSwap(t.Context(), "k", []byte("1"), 0)
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, kvservice.ErrUnavailable) {
 			t.Fatalf("lost acknowledgement: %v", err)
 		}
 		if e, err := s.client.Get(t.Context(), "k"); err != nil || string(e.Value) != "1" {
@@ -125,11 +125,11 @@
 		s.Slow(time.Second/2, 0)
 		time.AfterFunc(100*time.Millisecond, cancel)
 		_, err = s.client.CompareAndSwap(ctx, "k", []byte("2"), 2)
-		if !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.Canceled) {
+		if !errors.Is(err, kvservice.ErrUnavailable) || !errors.Is(err, context.Canceled) {
 			t.Fatalf("write given up by its caller: %v", err)
 		}
 		s.Down(0)
-		if _, err := s.client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := s.client.Get(t.Context(), "k"); !errors.Is(err, kvservice.ErrUnavailable) {
 			t.Fatalf("outage: %v", err)
 		}
 		if got := s.client.Counts(); got.Writes.Failures != 2 || got.Reads.Pending != 0 {
@@ -141,12 +141,12 @@
 // TestSilentWatch guards that a watch on a connection that went silent fails
 // within 3 s instead of trusting the connection for good.
 func TestSilentWatch(t *testing.T) {
-	run(t, platform.ClientOptions{}, func(t *testing.T, s *service) {
+	run(t, kvservice.ClientOptions{}, func(t *testing.T, s *service) {
 		s.put(t, "k", "1", 0)
 		time.AfterFunc(time.Millisecond, func() { s.network.Silence(address, false) })
 		start := time.Now()
 		_, err := s.client.Watch(t.Context(), "k", 2)
-		if took := time.Since(start); !errors.Is(err, platform.ErrUnavailable) || took > 3*time.Second {
+		if took := time.Since(start); !errors.Is(err, kvservice.ErrUnavailable) || took > 3*time.Second {
 			t.Fatalf("watch ended after %v with %v", took, err)
 		}
 	})
@@ -156,15 +156,15 @@
 // beyond the budget wait, and a watcher in a loop does not flood a service that
 // is down.
 func TestBudget(t *testing.T) {
-	budget := platform.Budget{
-		Reads:   platform.Rate{PerSecond: 10, Burst: 5},
-		Writes:  platform.Rate{PerSecond: 0.1, Burst: 1},
-		Watches: platform.Rate{PerSecond: 100, Burst: 100},
+	budget := kvservice.Budget{
+		Reads:   kvservice.Rate{PerSecond: 10, Burst: 5},
+		Writes:  kvservice.Rate{PerSecond: 0.1, Burst: 1},
+		Watches: kvservice.Rate{PerSecond: 100, Burst: 100},
 	}
-	run(t, platform.ClientOptions{Budget: budget}, func(t *testing.T, s *service) {
+	run(t, kvservice.ClientOptions{Budget: budget}, func(t *testing.T, s *service) {
 		s.put(t, "k", "1", 0)
 		_, err := s.client.CompareAndSwap(t.Context(), "k", []byte("2"), 2)
-		if !errors.Is(err, platform.ErrOverBudget) || errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, kvservice.ErrOverBudget) || errors.Is(err, kvservice.ErrUnavailable) {
 			t.Errorf("write over budget: %v", err)
 		}
 		start := time.Now()
@@ -204,12 +204,12 @@
 		list := instances.New(0)
 		server := instances.Serve(list, listener)
 		defer server.Close()
-		want := platform.Instance{
+		want := kvservice.Instance{
 			Name: "s1", Role: "sidecar", Upstream: "engine-1", FailureDomain: "fd-1", Region: "west",
 			PeerAddress: "10.0.0.2:9000", AdminAddress: "10.0.0.2:9001", Incarnation: 7, Leaving: true,
 		}
 		list.Register(instances.Instance(want))
-		client, err := platform.NewInstancesClient(platform.InstancesOptions{URL: "http://" + address, Dial: network.Dial})
+		client, err := kvservice.NewInstancesClient(kvservice.InstancesOptions{URL: "http://" + address, Dial: network.Dial})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -219,7 +219,7 @@
 			t.Fatalf("got %+v, %v; want %+v", got, err, want)
 		}
 		network.Cut(address)
-		if _, err := client.List(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := client.List(t.Context()); !errors.Is(err, kvservice.ErrUnavailable) {
 			t.Fatalf("outage: %v", err)
 		}
 	})
--- a/internal/platform/http.go
+++ b/internal/kvservice/http.go
@@ -1,4 +1,4 @@
-package platform
+package kvservice
 
 import (
 	"fmt"
--- a/internal/platform/platform.go
+++ b/internal/kvservice/platform.go
@@ -1,6 +1,6 @@
-// Package platform reaches the services that the platform gives: the key-value
+// Package kvservice reaches the services that the platform gives: the key-value
 // service that keeps what must last, and the lagging list of instances.
-package platform
+package kvservice
 
 import (
 	"context"
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -12,10 +12,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
 	"github.com/fescueslip/fescueslip/internal/memnet"
 	"github.com/fescueslip/fescueslip/internal/peer"
-	"github.com/fescueslip/fescueslip/internal/platform"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -28,7 +28,7 @@
 // fakeKV is a linearisable key-value service with faults.
 type fakeKV struct {
 	mu            sync.Mutex
-	entries       map[string]platform.Entry
+	entries       map[string]kvservice.Entry
 	index         uint64
 	down          bool
 	writes, reads int
@@ -67,11 +67,11 @@
 	return k.writes, k.reads
 }
 
-func (k *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
+func (k *fakeKV) Get(_ context.Context, key string) (kvservice.Entry, error) {
 	time.Sleep(kvLatency / 2)
 	defer time.Sleep(kvLatency / 2)
 	if k.isDown() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvservice.Entry{}, kvservice.ErrUnavailable
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -82,11 +82,11 @@
 func (k *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, index uint64) (bool, error) {
 	time.Sleep(kvLatency / 2)
 	defer time.Sleep(kvLatency / 2)
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > kvservice.MaxValueBytes {
 		panic("value over the limit of the service")
 	}
 	if k.isDown() {
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	}
 	later := func() { time.Sleep(rand.N(4 * time.Second)); k.swap(key, value, index) }
 	lost, delayed, doubled := k.faults()
@@ -94,10 +94,10 @@
 	switch {
 	case dice < lost:
 		k.swap(key, value, index)
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	case dice < delayed:
 		go later()
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	case dice < doubled:
 		go later()
 	}
@@ -112,11 +112,11 @@
 		return false
 	}
 	k.index++
-	k.entries[key] = platform.Entry{Key: key, Value: value, Index: k.index}
+	k.entries[key] = kvservice.Entry{Key: key, Value: value, Index: k.index}
 	return true
 }
 
-func (k *fakeKV) Watch(ctx context.Context, key string, _ uint64) (platform.Entry, error) {
+func (k *fakeKV) Watch(ctx context.Context, key string, _ uint64) (kvservice.Entry, error) {
 	return k.Get(ctx, key)
 }
 
@@ -126,16 +126,16 @@
 	dead atomic.Bool
 }
 
-func (k *nodeKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (k *nodeKV) Get(ctx context.Context, key string) (kvservice.Entry, error) {
 	if k.dead.Load() {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvservice.Entry{}, kvservice.ErrUnavailable
 	}
 	return k.fakeKV.Get(ctx, key)
 }
 
 func (k *nodeKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
 	if k.dead.Load() {
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	}
 	return k.fakeKV.CompareAndSwap(ctx, key, value, index)
 }
@@ -203,7 +203,7 @@
 func inFleet(t *testing.T, entries int, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: memnet.New(0), kv: &fakeKV{entries: map[string]platform.Entry{}}}
+		f := &fleet{t: t, net: memnet.New(0), kv: &fakeKV{entries: map[string]kvservice.Entry{}}}
 		for n := range entries {
 			f.start(fmt.Sprintf("entry-%d", n))
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/membership"
-	"github.com/fescueslip/fescueslip/internal/platform"
 )
 
 const (
@@ -26,7 +26,7 @@
 
 // Options are the dependencies of a Ledger.
 type Options struct {
-	KV      platform.KV
+	KV      kvservice.KV
 	Members membership.View
 	// Self is the name of this process in Members.
 	Self string
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // storeTimeout bounds one call of the key-value service, which answers in
@@ -15,7 +15,7 @@
 
 // store names and reads the values of one shard in the key-value service.
 type store struct {
-	kv    platform.KV
+	kv    kvservice.KV
 	shard int
 }
 
@@ -25,7 +25,7 @@
 	return fmt.Sprintf("fescueslip/ledger/%d/%s", s.shard, hex.EncodeToString(id[:]))
 }
 
-func (s store) get(ctx context.Context, key string) (platform.Entry, error) {
+func (s store) get(ctx context.Context, key string) (kvservice.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	return s.kv.Get(ctx, key)
--- a/internal/membership/poll.go
+++ b/internal/membership/poll.go
@@ -8,7 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // perMember lengthens the time between two reads of the list with its size: at
@@ -21,7 +21,7 @@
 // reports true, and they pass the changes on.
 type Poller struct {
 	Table     *Table
-	Instances platform.Instances
+	Instances kvservice.Instances
 	// Interval is the shortest time between two reads.
 	Interval time.Duration
 	// Reader reports whether this process reads the list now; nil means always.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 const (
@@ -208,7 +208,7 @@
 // known already is not made to serve by it, because it lags. A member that the
 // list had and lacks in absentReads reads in a row is gone; one that the list
 // never had is kept, since peers may know a new process before the list does.
-func (t *Table) ApplyList(list []platform.Instance) []Member {
+func (t *Table) ApplyList(list []kvservice.Instance) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	on := make(map[string]uint64, len(list))
@@ -226,7 +226,7 @@
 	return changed
 }
 
-func (t *Table) applyInstance(in platform.Instance) bool {
+func (t *Table) applyInstance(in kvservice.Instance) bool {
 	m := fromInstance(in)
 	e, known := t.byName[m.Name]
 	switch {
@@ -275,7 +275,7 @@
 	return len(t.byName) < before
 }
 
-func fromInstance(in platform.Instance) Member {
+func fromInstance(in kvservice.Instance) Member {
 	m := Member{
 		Name:          in.Name,
 		Role:          in.Role,
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 func TestMain(m *testing.M) {
@@ -25,8 +25,8 @@
 	return Member{Name: name, Role: "sidecar", Upstream: "u-" + name, Incarnation: incarnation, State: s}
 }
 
-func instance(name string, incarnation uint64, leaving bool) platform.Instance {
-	return platform.Instance{Name: name, Role: "sidecar", Upstream: "u-" + name, Incarnation: incarnation, Leaving: leaving}
+func instance(name string, incarnation uint64, leaving bool) kvservice.Instance {
+	return kvservice.Instance{Name: name, Role: "sidecar", Upstream: "u-" + name, Incarnation: incarnation, Leaving: leaving}
 }
 
 func (t *Table) stateOf(name string) (State, uint64) {
@@ -43,7 +43,7 @@
 	table  *Table
 	left   map[string]uint64 // newest incarnation that announced its leaving
 	newest map[string]uint64
-	list   []platform.Instance // may be stuck
+	list   []kvservice.Instance // may be stuck
 }
 
 var modelStates = []State{Starting, Serving, Suspect, Leaving, Gone}
@@ -129,7 +129,7 @@
 
 // Guards against each rule of the table by itself.
 func TestTableRules(t *testing.T) {
-	serving := []platform.Instance{instance("a", 1, false), instance("b", 1, false), instance("c", 1, false)}
+	serving := []kvservice.Instance{instance("a", 1, false), instance("b", 1, false), instance("c", 1, false)}
 	cases := []struct {
 		name string
 		do   func(*Table)
@@ -154,7 +154,7 @@
 		{"the leaving of an old incarnation does not concern the newer one", func(x *Table) {
 			x.MergeSelf(member("a", 2, Serving))
 			x.MergeRelayed([]Member{member("a", 1, Leaving)})
-			x.ApplyList([]platform.Instance{instance("a", 1, true), serving[1], serving[2]})
+			x.ApplyList([]kvservice.Instance{instance("a", 1, true), serving[1], serving[2]})
 		}, Serving},
 		{"a stuck list does not revive a leaving member", func(x *Table) {
 			x.Report("a", 1, Leaving)
@@ -184,7 +184,7 @@
 		}, Leaving},
 		{"the list does not make a starting member serve", func(x *Table) {
 			x.MergeSelf(member("a", 2, Starting))
-			x.ApplyList([]platform.Instance{instance("a", 2, false)})
+			x.ApplyList([]kvservice.Instance{instance("a", 2, false)})
 		}, Starting},
 	}
 	for _, c := range cases {
@@ -206,7 +206,7 @@
 		x := NewTable()
 		x.MergeRelayed([]Member{member("new", 1, Serving)})
 		for range 100 {
-			x.ApplyList([]platform.Instance{instance("b", 1, false)})
+			x.ApplyList([]kvservice.Instance{instance("b", 1, false)})
 		}
 		if got, _ := x.stateOf("new"); got != Serving {
 			t.Fatalf("state %s, want serving", got)
@@ -217,7 +217,7 @@
 			t.Fatalf("state %s, want gone", got)
 		}
 		time.Sleep(GoneRetention + time.Second)
-		x.ApplyList([]platform.Instance{instance("b", 1, false)})
+		x.ApplyList([]kvservice.Instance{instance("b", 1, false)})
 		if _, incarnation := x.stateOf("new"); incarnation != 0 {
 			t.Fatal("a member that is gone is remembered for good")
 		}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -9,7 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
@@ -29,7 +29,7 @@
 // key-value service, many in one write. Local changes count at once: a crash
 // that this process saw is known here even while the service is down.
 type Keeper struct {
-	kv  platform.KV
+	kv  kvservice.KV
 	log *log.Logger
 
 	current atomic.Pointer[Record]
@@ -45,7 +45,7 @@
 }
 
 // NewKeeper returns a keeper with an empty record.
-func NewKeeper(kv platform.KV, logger *log.Logger) *Keeper {
+func NewKeeper(kv kvservice.KV, logger *log.Logger) *Keeper {
 	k := &Keeper{kv: kv, log: logger, stored: new(Record), wake: make(chan struct{}, 1)}
 	k.current.Store(new(Record))
 	return k
--- a/internal/quarantine/operator.go
+++ b/internal/quarantine/operator.go
@@ -6,14 +6,14 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 // liftTries bounds the attempts against concurrent writers of the record.
 const liftTries = 10
 
 // Read returns the record as stored in the key-value service.
-func Read(ctx context.Context, kv platform.KV) (*Record, error) {
+func Read(ctx context.Context, kv kvservice.KV) (*Record, error) {
 	e, err := kv.Get(ctx, Key)
 	if err != nil {
 		return nil, errors.Wrap(err, "read quarantine record")
@@ -24,7 +24,7 @@
 // Lift removes a fingerprint from the stored record, so that its request may
 // run again. It reports whether the fingerprint was there. A write whose
 // acknowledgement is lost is repeated; removing twice is harmless.
-func Lift(ctx context.Context, kv platform.KV, f Fingerprint) (bool, error) {
+func Lift(ctx context.Context, kv kvservice.KV, f Fingerprint) (bool, error) {
 	var last error
 	for range liftTries {
 		e, err := kv.Get(ctx, Key)
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/engine"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 // OrdersOptions are the parts of Orders.
 type OrdersOptions struct {
-	KV       platform.KV
+	KV       kvservice.KV
 	Engine   engine.Client
 	Upstream string
 	// Holder tells processes and their lives apart.
--- a/internal/sidecar/orders_test.go
+++ b/internal/sidecar/orders_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/engine"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -23,13 +23,13 @@
 	loseAck bool
 }
 
-func (k *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
+func (k *fakeKV) Get(_ context.Context, key string) (kvservice.Entry, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.down {
-		return platform.Entry{}, platform.ErrUnavailable
+		return kvservice.Entry{}, kvservice.ErrUnavailable
 	}
-	return platform.Entry{Key: key, Value: k.value, Index: k.index}, nil
+	return kvservice.Entry{Key: key, Value: k.value, Index: k.index}, nil
 }
 
 func (k *fakeKV) CompareAndSwap(_ context.Context, _ string, value []byte, index uint64) (bool, error) {
@@ -37,23 +37,23 @@
 	defer k.mu.Unlock()
 	switch {
 	case k.down:
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	case index != k.index:
 		return false, nil
 	}
 	k.value, k.index = value, k.index+1
 	if k.loseAck {
 		k.loseAck = false
-		return false, platform.ErrUnavailable
+		return false, kvservice.ErrUnavailable
 	}
 	return true, nil
 }
 
-func (k *fakeKV) Watch(context.Context, string, uint64) (platform.Entry, error) {
-	return platform.Entry{}, platform.ErrUnavailable
+func (k *fakeKV) Watch(context.Context, string, uint64) (kvservice.Entry, error) {
+	return kvservice.Entry{}, kvservice.ErrUnavailable
 }
 
-func newTestOrders(kv platform.KV, f engine.Client, holder string, checks bool) *Orders {
+func newTestOrders(kv kvservice.KV, f engine.Client, holder string, checks bool) *Orders {
 	return NewOrders(OrdersOptions{KV: kv, Engine: f, Upstream: "up", Holder: holder, ChecksFencing: func() bool { return checks }})
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,7 +20,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/engine"
-	"github.com/fescueslip/fescueslip/internal/platform"
+	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -43,7 +43,7 @@
 	Events    *telemetry.FlightLog // may be nil
 	Logger    *log.Logger
 	// KV keeps the fencing tokens; without it no orders are issued.
-	KV platform.KV
+	KV kvservice.KV
 }
 
 // Sidecar serves the streams of one model engine.
