--- a/internal/app/roles.go
+++ b/internal/app/roles.go
@@ -45,8 +45,11 @@
 		logger.Warn("plan of a role change ignored", "store_revision", e.Revision, "err", err)
 		return
 	}
-	r.gateway.Rest(plan.Engine, plan.Incarnation, time.Now().Add(roles.SwitchLimit(switchTimes(r.tables.Table())[""])))
-	logger.Info("engine changes its role", "upstream", plan.Engine, "role", plan.Role, "store_revision", e.Revision)
+	until := time.Now().Add(roles.SwitchLimit(switchTimes(r.tables.Table())[""]))
+	for _, engine := range plan.Engines {
+		r.gateway.Rest(engine.ID, engine.Incarnation, until)
+		logger.Info("engine changes its role", "upstream", engine.ID, "role", plan.Role, "store_revision", e.Revision)
+	}
 }
 
 // switchTimes returns the services with model engines and the time of a change
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -121,11 +122,12 @@
 // nil. Without a prefill engine it must read the prompt by itself, and none else
 // at the moment.
 func (s *scheduler) engineFor(w *waiter, crowded bool, prefill *fleet.Upstream, now time.Time) *fleet.Upstream {
-	limit := s.fill.Limit(&w.state, crowded)
+	limit := s.fillOf(w.call.Service).Limit(&w.state, crowded)
 	if limit <= 0 {
 		return nil
 	}
 	engine := w.call.Service.Engine
+	jitter := gatewayJitter * float64(s.g.Listed()-1)
 	var best *fleet.Upstream
 	var bestCost float64
 	for _, u := range s.g.Fleet.Snapshot().Service(w.call.Service.Name) {
@@ -161,6 +163,7 @@
 		if prefill != nil && u.Facts().FailureDomain != prefill.Facts().FailureDomain {
 			cost += farTransferCost
 		}
+		cost += jitter * rand.Float64()
 		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
@@ -181,6 +184,9 @@
 	// farTransferCost weighs KV cache that is moved to another failure domain
 	// against the fill.
 	farTransferCost = 0.06
+	// gatewayJitter spreads the choices of gateways that see the same loads, for
+	// each other gateway: the more there are, the older is what they tell.
+	gatewayJitter = 0.008
 )
 
 // place asks the engine for the reservation; the lock is held.
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -9,6 +9,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
+	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
 const (
@@ -80,15 +81,16 @@
 type scheduler struct {
 	g    *Gateway
 	load *loadTable
-	fill waitqueue.Fill
 	wake chan struct{}
 
 	mu      sync.Mutex
 	waiting []*waiter
+	// meanTokens is the memory that a request needs in the mean, by service.
+	meanTokens map[string]float64
 }
 
 func newScheduler(g *Gateway) *scheduler {
-	return &scheduler{g: g, load: newLoadTable(), fill: waitqueue.DefaultFill(), wake: make(chan struct{}, 1)}
+	return &scheduler{g: g, load: newLoadTable(), wake: make(chan struct{}, 1), meanTokens: make(map[string]float64)}
 }
 
 // kick has the waiting requests looked at soon.
@@ -144,11 +146,11 @@
 func (s *scheduler) reserve(ctx context.Context, m *modelRun) (grant, error) {
 	now := time.Now()
 	w := s.newWaiter(m.call)
-	s.g.demands.observe(m.call.Service, float64(m.call.Model.PromptTokens), w.median, s.fill.OnTime)
 	if !now.Before(w.until) {
 		return grant{}, s.refusal(w.call)
 	}
 	s.mu.Lock()
+	s.noteSize(w)
 	s.waiting = append(s.waiting, w)
 	s.mu.Unlock()
 	s.kick()
@@ -165,6 +167,26 @@
 	}
 }
 
+// noteSize takes a request into the mean sizes and the demand; the lock is held.
+func (s *scheduler) noteSize(w *waiter) {
+	service := w.call.Service
+	size := float64(w.call.Model.PromptTokens) + w.median
+	mean, known := s.meanTokens[service.Name]
+	if !known {
+		mean = size
+	}
+	s.meanTokens[service.Name] = mean + (size-mean)*sizeDecay
+	s.g.demands.observe(service, float64(w.call.Model.PromptTokens), w.median, s.fillOf(service).OnTime)
+}
+
+// sizeDecay is the weight of one request in the mean size.
+const sizeDecay = 0.05
+
+// fillOf returns how far the engines of a service may be filled; the lock is held.
+func (s *scheduler) fillOf(service *routing.Service) waitqueue.Fill {
+	return waitqueue.FillFor(s.meanTokens[service.Name], float64(service.Engine.MemoryTokens))
+}
+
 // withdraw takes a request out of the queue. A reservation that is being asked
 // for at that moment is used, unless the request has ended.
 func (s *scheduler) withdraw(w *waiter, err error, ended bool) (grant, error) {
@@ -244,19 +266,26 @@
 const silenceMargin = 150 * time.Millisecond
 
 // holdTokens is the memory to reserve. The forecast covers the growth of the
-// output. Where another gateway is on the list but not heard, its requests may
-// grow unseen, so more than the prompt must be free.
+// output. What other gateways placed meanwhile is missing in it, the more of them
+// there are, and all of it while one is on the list but not heard; then a part of
+// the expected output must be free, too.
 func (s *scheduler) holdTokens(w *waiter) int {
-	tokens := w.call.Model.PromptTokens + reserveMargin
-	if s.load.heardPeers()+1 < s.g.Listed() {
-		tokens += int(w.median * unheardShare)
+	listed := s.g.Listed()
+	share := growthShare * min(1, float64(listed-1)/manyGateways)
+	if s.load.heardPeers()+1 < listed {
+		share = growthShare
 	}
-	return tokens
+	return w.call.Model.PromptTokens + reserveMargin + int(w.median*share)
 }
 
-// unheardShare is the part of the expected output that is reserved while a
-// gateway is not heard.
-const unheardShare = 0.5
+const (
+	// growthShare is the part of the expected output that is reserved where the
+	// forecast does not see all requests.
+	growthShare = 0.5
+	// manyGateways is the number of others from which on the forecast is always
+	// behind.
+	manyGateways = 20.0
+)
 
 // ended takes a request that has left its engine out of the load.
 func (s *scheduler) ended(gr grant) {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -21,8 +21,8 @@
 	// maxDatagram is the largest message; a larger one is not sent.
 	maxDatagram = 32 << 10
 	// bytesPerSecond and burstBytes bound what one process sends to all others.
-	bytesPerSecond = 24 << 10
-	burstBytes     = 24 << 10
+	bytesPerSecond = 64 << 10
+	burstBytes     = 64 << 10
 	// heardLife is how long a peer that is missing on the list is told because
 	// it was heard.
 	heardLife = 3 * time.Second
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -91,9 +92,22 @@
 	LateCrowded float64
 }
 
-// DefaultFill leaves room for forecasts that err, and for requests in time that
-// arrive soon.
-func DefaultFill() Fill { return Fill{OnTime: 0.85, Late: 0.75, LateCrowded: 0} }
+const (
+	// errorSpread is the margin for forecasts that err. The error of a sum of few
+	// large requests is larger, as the root of their share of the memory.
+	errorSpread = 0.52
+	// lateMargin is what late requests leave to those in time that arrive soon.
+	lateMargin = 0.10
+	// leastFill bounds the margins on small engines.
+	leastFill = 0.5
+)
+
+// FillFor returns the limits of an engine whose memory holds memory tokens, for
+// requests that need meanTokens each.
+func FillFor(meanTokens, memory float64) Fill {
+	onTime := max(leastFill, 1-errorSpread*math.Sqrt(min(1, meanTokens/memory)))
+	return Fill{OnTime: onTime, Late: onTime - lateMargin}
+}
 
 // Limit returns the share of an engine's memory that the request may fill.
 // crowded tells that requests wait somewhere that can still be in time.
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -3,8 +3,11 @@
 package roles
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -58,14 +61,17 @@
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 }
 
-// Plan is an order under way. Gateways send no new work to its engine until it
-// has the role or the plan is past its time.
+// Plan names the engines of orders under way. Gateways send no new work to them
+// until they have the role or the plan is past its time.
 type Plan struct {
-	Engine      string `json:"engine"`
+	Engines []PlannedEngine `json:"engines"`
+	Role    string          `json:"role"`
+}
+
+// PlannedEngine is one engine of a plan.
+type PlannedEngine struct {
+	ID          string `json:"id"`
 	Incarnation int64  `json:"incarnation"`
-	Role        string `json:"role"`
-	// Number grows with each plan.
-	Number uint64 `json:"number"`
 }
 
 // PlanKey is the key of the plan in the store.
@@ -97,8 +103,32 @@
 	unansweredPause = 13 * time.Second
 )
 
-// balance makes a change worth its cost: an engine does no work for some seconds.
-var balance = rebalance.Options{High: 0, Gain: 0.05, Hold: 2500 * time.Millisecond, Interval: 9 * time.Second}
+const (
+	// hold is how long the reason for a change must persist, and betweenChanges
+	// the least time between two: an engine does no work for some seconds.
+	hold           = 2500 * time.Millisecond
+	betweenChanges = 9 * time.Second
+	// leastGain is the relative gain that makes a change worth its cost. In a large
+	// pool one engine changes less than that, so its share counts there.
+	leastGain   = 0.05
+	gainOfShare = 0.5
+	// batchShare bounds the engines that change at once, as a share of all.
+	batchShare = 1.0 / 6
+)
+
+func balanceOptions(engines int) rebalance.Options {
+	gain := min(leastGain, gainOfShare/float64(max(1, engines)))
+	return rebalance.Options{High: 0, Gain: gain, Hold: hold, Interval: betweenChanges}
+}
+
+// batch returns how many engines to order: those that are missing to the best
+// proportion, but never so many that the service suffers.
+func batch(d Demand, prefill, decode int) int {
+	all := float64(prefill + decode)
+	best := all * d.PrefillSeconds / (d.PrefillSeconds + d.DecodeSeconds)
+	missing := int(math.Abs(best - float64(prefill)))
+	return max(1, min(missing, int(all*batchShare)))
+}
 
 // Options configure a manager.
 type Options struct {
@@ -123,7 +153,6 @@
 	balancers map[string]*rebalance.Balancer
 	// quietUntil is when the next order may be given, by service.
 	quietUntil map[string]time.Duration
-	number     uint64
 }
 
 // New returns a manager.
@@ -173,7 +202,7 @@
 	prefill, decode := m.pools(service)
 	b, ok := m.balancers[service]
 	if !ok {
-		b = rebalance.New(balance)
+		b = rebalance.New(balanceOptions(len(prefill) + len(decode)))
 		m.balancers[service] = b
 	}
 	move, ok := b.Next(now,
@@ -187,7 +216,19 @@
 		from, role = decode, fleet.RolePrefill
 	}
 	m.quietUntil[service] = now + switchTime + switchSlack/2
-	return m.order(ctx, term, service, leastLoaded(from), role, switchTime, now)
+	chosen := leastLoaded(from, min(batch(d, len(prefill), len(decode)), len(from)-1))
+	if err := m.publish(ctx, chosen, role, SwitchLimit(switchTime)); err != nil {
+		return errors.Wrap(err, "publish the plan")
+	}
+	if err := m.o.Elector.Confirm(ctx, term); err != nil {
+		return err
+	}
+	for _, u := range chosen {
+		if err := m.order(ctx, term, service, u, role, now); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // noServers stands for the pressure on a role without any engine.
@@ -215,17 +256,16 @@
 	return prefill, decode
 }
 
-func leastLoaded(list []*fleet.Upstream) *fleet.Upstream {
-	best := list[0]
-	for _, u := range list[1:] {
-		if u.InFlight.Load()+u.PrefillTokens.Load() < best.InFlight.Load()+best.PrefillTokens.Load() {
-			best = u
-		}
-	}
-	return best
+// leastLoaded returns the n upstreams with the least work of this gateway.
+func leastLoaded(list []*fleet.Upstream, n int) []*fleet.Upstream {
+	sorted := slices.Clone(list)
+	slices.SortStableFunc(sorted, func(a, b *fleet.Upstream) int {
+		return cmp.Compare(a.InFlight.Load()+a.PrefillTokens.Load(), b.InFlight.Load()+b.PrefillTokens.Load())
+	})
+	return sorted[:n]
 }
 
-func (m *Manager) order(ctx context.Context, term leadership.Term, service string, u *fleet.Upstream, role fleet.Role, switchTime, now time.Duration) error {
+func (m *Manager) order(ctx context.Context, term leadership.Term, service string, u *fleet.Upstream, role fleet.Role, now time.Duration) error {
 	to := u.Facts()
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -236,12 +276,6 @@
 	if report.Busy || report.Role == role {
 		return errors.Errorf("engine %s is busy or has the role already", to.ID)
 	}
-	if err := m.publish(ctx, to, role, SwitchLimit(switchTime)); err != nil {
-		return errors.Wrap(err, "publish the plan")
-	}
-	if err := m.o.Elector.Confirm(ctx, term); err != nil {
-		return err
-	}
 	if current, ok := m.o.Elector.Term(); !ok || current != term {
 		return errors.New("the right ended before the order")
 	}
@@ -257,9 +291,12 @@
 }
 
 // publish writes the plan under a lease: it vanishes when its time is over.
-func (m *Manager) publish(ctx context.Context, to *fleet.Instance, role fleet.Role, life time.Duration) error {
-	m.number++
-	value, err := json.Marshal(Plan{Engine: to.ID, Incarnation: to.Incarnation, Role: role.String(), Number: m.number})
+func (m *Manager) publish(ctx context.Context, engines []*fleet.Upstream, role fleet.Role, life time.Duration) error {
+	plan := Plan{Role: role.String()}
+	for _, u := range engines {
+		plan.Engines = append(plan.Engines, PlannedEngine{ID: u.Facts().ID, Incarnation: u.Facts().Incarnation})
+	}
+	value, err := json.Marshal(plan)
 	if err != nil {
 		return err
 	}
