--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// errorHalfLife is how fast the failure rate of an upstream is forgotten.
+	// errorDecay is the weight of one answer in the failure share.
 	errorDecay = 0.12
 	// latencyDecay is the weight of one sample in the mean latency.
 	latencyDecay = 0.15
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,7 +26,6 @@
 	Retries    GatewayRetries   `yaml:"retries"`
 	Leadership Leadership       `yaml:"leadership"`
 	Shutdown   GatewayShutdown  `yaml:"shutdown"`
-	Upstreams  GatewayUpstreams `yaml:"upstreams"`
 	Log        Log              `yaml:"log"`
 }
 
@@ -66,12 +65,6 @@
 	Grace time.Duration `yaml:"grace" validate:"min=1s,max=10m"`
 }
 
-// GatewayUpstreams tells what the deployment promises of its upstreams.
-type GatewayUpstreams struct {
-	// DrainTime is how long an upstream that leaves still serves.
-	DrainTime time.Duration `yaml:"drain_time" validate:"min=100ms,max=10m"`
-}
-
 // DefaultGateway returns the settings that apply where the file has no key.
 func DefaultGateway() Gateway {
 	return Gateway{
@@ -79,7 +72,6 @@
 		Retries:    GatewayRetries{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Leadership: Leadership{Lease: 3 * time.Second},
 		Shutdown:   GatewayShutdown{Grace: 8 * time.Second},
-		Upstreams:  GatewayUpstreams{DrainTime: 2 * time.Second},
 		Log:        Log{Format: LogJSON, Level: "info"},
 	}
 }
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -46,7 +46,7 @@
 		"{{listen.ready-addr}}", "10.1.0.35:8140", "{{listen.control}}", "10.1.0.35:8146", "{{seeds}}", "10.1.0.35:8146,10.2.0.28:8146", "{{ip}}", "10.1.0.35",
 		"{{internal-ports.0}}", "7660", "{{internal-ports.1}}", "7675", "{{limits.memory-mb}}", "134",
 		"{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.budget-window-s}}", "10", "{{bounds.budget-slack}}", "54",
-		"{{bounds.lease-ms}}", "3000", "{{bounds.grace-s}}", "8", "{{bounds.drain-ms}}", "2000",
+		"{{bounds.lease-ms}}", "3000", "{{bounds.grace-s}}", "8",
 	)
 	s, err := ParseGateway("template", []byte(values.Replace(string(text))))
 	if err != nil {
