--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -30,6 +30,7 @@
 	failures  float64 // moving share of failed requests, 0 to 1
 	latency   float64 // moving mean, in ms
 	silentSeq int     // consecutive requests without any answer
+	answered  time.Time
 	avoidTill time.Time
 	fullTill  time.Time
 	// restRole is the role that the instance gives up, until restTill at most.
@@ -54,6 +55,7 @@
 	defer u.mu.Unlock()
 	u.failures -= u.failures * errorDecay
 	u.silentSeq, u.refusals = 0, 0
+	u.answered = time.Now()
 	ms := float64(d) / float64(time.Millisecond)
 	if u.latency == 0 {
 		u.latency = ms
@@ -68,6 +70,15 @@
 	defer u.mu.Unlock()
 	u.failures += (1 - u.failures) * errorDecay
 	u.silentSeq = 0
+	u.answered = time.Now()
+}
+
+// AnsweredSince reports whether the upstream answered any request of this
+// process since t: one that got no answer may then just take long.
+func (u *Upstream) AnsweredSince(t time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.answered.After(t)
 }
 
 // Unreachable records a request that got no answer and keeps the upstream out
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -189,17 +189,14 @@
 }
 
 func rawPath(r *http.Request) string {
-	target := requestTarget(r)
-	for i := range len(target) {
-		if target[i] == '?' {
-			return target[:i]
-		}
-	}
-	return target
+	path, _, _ := strings.Cut(RequestTarget(r), "?")
+	return path
 }
 
-func requestTarget(r *http.Request) string {
-	if len(r.RequestURI) > 0 && r.RequestURI[0] == '/' {
+// RequestTarget returns the target of a request as it goes on to upstreams: path
+// and query as the client sent them.
+func RequestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
 		return r.RequestURI
 	}
 	return r.URL.RequestURI()
@@ -341,5 +338,3 @@
 	}
 	g.Logger.Info(message, fields...)
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -69,5 +70,5 @@
 		return "cut"
 	}
 	const classSize = 100
-	return itoa(res.status/classSize) + "xx"
+	return strconv.Itoa(res.status/classSize) + "xx"
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -158,6 +158,7 @@
 	others, _ := m.g.scheduler.load.prefill(u)
 	ahead := u.PrefillTokens.Load() + others
 	r := m.g.send(ctx, m.call, u, Send{Purpose: Prefill, To: to, Left: m.call.Left(began)}, engineMaxIdle)
+	r.took = time.Since(began)
 	if r.err != nil {
 		m.g.observe(ctx, u, r)
 		return nil, errors.Wrap(r.err, "prefill")
@@ -213,6 +214,7 @@
 		defer place.prefillDone()
 	}
 	r := m.g.send(ctx, m.call, u, send, engineMaxIdle)
+	r.took = time.Since(began)
 	if r.err != nil {
 		m.g.observe(ctx, u, r)
 		m.free(p)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -322,7 +322,7 @@
 	case r.err != nil && ctx.Err() != nil:
 		// Ended by the gateway or the client; a request that used up its time
 		// still says something.
-		if errors.Is(context.Cause(ctx), errDeadline) {
+		if errors.Is(context.Cause(ctx), errDeadline) && !u.AnsweredSince(now.Add(-r.took)) {
 			u.Unreachable(now, unreachablePause)
 			g.Pool.DropIdle(u.Facts().Address)
 		}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -21,12 +21,12 @@
 	Listen       GatewayListen `yaml:"listen"`
 	// Seeds are control addresses of gateways, asked at a start while the store is
 	// away, separated by commas; they may be out of date.
-	Seeds      string           `yaml:"seeds"`
-	Memory     GatewayMemory    `yaml:"memory"`
-	Retries    GatewayRetries   `yaml:"retries"`
-	Leadership Leadership       `yaml:"leadership"`
-	Shutdown   GatewayShutdown  `yaml:"shutdown"`
-	Log        Log              `yaml:"log"`
+	Seeds      string          `yaml:"seeds"`
+	Memory     GatewayMemory   `yaml:"memory"`
+	Retries    GatewayRetries  `yaml:"retries"`
+	Leadership Leadership      `yaml:"leadership"`
+	Shutdown   GatewayShutdown `yaml:"shutdown"`
+	Log        Log             `yaml:"log"`
 }
 
 // GatewayListen holds the addresses that a gateway listens on, as IP:port.
