--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -193,3 +193,21 @@
 		t.Error("the connection is still open")
 	}
 }
+
+// Guards against kept connections that stay open for good, such as those to an
+// upstream that is gone.
+func TestSweep(t *testing.T) {
+	address, _ := upstream(t, answer("1", "one"))
+	p := NewPool(nil)
+	if _, _, err := exchange(p, request(address, "1")); err != nil {
+		t.Fatal(err)
+	}
+	p.Sweep(time.Now())
+	if len(p.idle[address]) != 1 {
+		t.Error("a fresh connection was closed")
+	}
+	p.Sweep(time.Now().Add(defaultIdle + time.Second))
+	if len(p.idle) != 0 || len(p.open) != 0 {
+		t.Errorf("%d kept and %d open connections after their time", len(p.idle), len(p.open))
+	}
+}
