--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -11,6 +11,7 @@
 	"context"
 	"io"
 	"net/http"
+	neturl "net/url"
 	"sync/atomic"
 	"time"
 
@@ -151,8 +152,23 @@
 	}
 }
 
-// Dial opens a stream to url with the shared peer secret.
+// dialAttempts bounds the tries of Dial.
+const dialAttempts = 2
+
+// Dial opens a stream to url with the shared peer secret. It tries once more when
+// the connection is lost before a response: a kept connection that went silent may
+// be closed at that very moment, and no frame has been sent yet.
 func Dial[S, R proto.Message](ctx context.Context, hc *http.Client, url, secret string, newR func() R) (*Stream[S, R], error) {
+	for attempt := 1; ; attempt++ {
+		s, err := dialOnce[S](ctx, hc, url, secret, newR)
+		var lost *neturl.Error
+		if err == nil || attempt == dialAttempts || ctx.Err() != nil || !errors.As(err, &lost) {
+			return s, err
+		}
+	}
+}
+
+func dialOnce[S, R proto.Message](ctx context.Context, hc *http.Client, url, secret string, newR func() R) (*Stream[S, R], error) {
 	s := newStream[S](ctx, newR)
 	pr, pw := io.Pipe()
 	s.closers = append(s.closers, pr, pw)
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -116,6 +116,40 @@
 	})
 }
 
+// lostOnce is a transport whose first connection is lost before a response.
+type lostOnce struct {
+	http.RoundTripper
+	tries int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *lostOnce) RoundTrip(r *http.Request) (*http.Response, error) {
+	if l.tries++; l.tries == 1 {
+		return nil, errors.New("http2: client connection lost")
+	}
+	return l.RoundTripper.RoundTrip(r)
+}
+
+// Guards against a stream that fails because the kept connection it was to use is
+// closed as silent at that moment. Seen once in CI beside load.
+func TestDialAfterLostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(0)
+		stop := serve(t, n, func(s *wire.Stream[*wire.DecodeReply, *wire.DecodeRequest]) {
+			_, _ = s.Recv()
+		})
+		defer stop()
+		hc := wire.NewClient(n.Dial)
+		defer hc.CloseIdleConnections()
+		hc.Transport = &lostOnce{RoundTripper: hc.Transport}
+		s, err := wire.Dial[*wire.DecodeRequest](t.Context(), hc, "http://sidecar:1/stream/decode", testSecret, newReply)
+		if err != nil {
+			t.Fatalf("the stream was not opened on a new connection: %v", err)
+		}
+		s.Close()
+	})
+}
+
 // Guards against a sidecar that serves a process without the shared secret.
 func TestWrongSecretIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
