Refuse requests that crash upstreams, across attempts and gateways

Cause: a request that crashes each server which runs it was bounded within one client attempt only.

Change: a watchlist of runs that broke off, by fingerprint of method, host, target and body. A run counts as a crash only if its upstream leaves the list soon after; a run to the end clears the request. Gateways tell each other by gossip (four times, in the tail of the datagram that older processes do not read) and write the finding into the store under a lease of 10 minutes. After three crashes the request is refused with 503 and the time that is left.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"go.opentelemetry.io/otel/metric"
@@ -86,7 +87,7 @@
 			newGatewayList,
 			newRolePlans,
 		),
-		fx.Invoke(observeGateway, serveReady, serveGatewayAdmin, followStore, joinGateways, manageRoles, watchSettings, serveClients),
+		fx.Invoke(observeGateway, serveReady, serveGatewayAdmin, followStore, joinGateways, shareSuspensions, manageRoles, watchSettings, serveClients),
 	)
 }
 
@@ -95,6 +96,9 @@
 	tables *routing.Holder
 	fleet  *fleet.Fleet
 	listed atomic.Bool
+	// since is when the store was read first, or again after it was lost; nil
+	// while it is lost.
+	since atomic.Pointer[time.Time]
 }
 
 // observeGateway registers the metrics of the process beside those of requests.
@@ -127,10 +131,18 @@
 	return &topology{tables: tables, fleet: f}
 }
 
+// listedSince returns since when the list can be read; zero if it cannot.
+func (t *topology) listedSince() time.Time {
+	if since := t.since.Load(); since != nil {
+		return *since
+	}
+	return time.Time{}
+}
+
 // ready reports whether requests can be served.
 func (t *topology) ready() bool { return t.tables.Table() != nil && t.listed.Load() }
 
-func newGateway(p GatewayProcess, gateways *gatewayList, tables *routing.Holder, f *fleet.Fleet, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(p GatewayProcess, gateways *gatewayList, t *topology, m *gateway.Metrics) *gateway.Gateway {
 	s := p.Settings
 	return gateway.New(gateway.Options{
 		Instance:      s.Instance,
@@ -138,11 +150,12 @@
 		Wire:          p.Adapter.Wire,
 		Engines:       p.Adapter.Engines,
 		Pool:          p.Pool,
-		Tables:        tables,
-		Fleet:         f,
+		Tables:        t.tables,
+		Fleet:         t.fleet,
 		Retries:       gateway.RetryLimits{Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack},
 		Gateways:      gateways.count,
 		Listed:        gateways.listed,
+		ListedSince:   t.listedSince,
 		Logger:        p.Logger,
 		Metrics:       m,
 	})
--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
 // gatewayState is the dump of a gateway process.
@@ -17,6 +18,9 @@
 	InFlight      int64            `json:"in_flight"`
 	Connections   int64            `json:"connections_opened"`
 	Upstreams     []upstreamStatus `json:"upstreams"`
+	// Suspended are the fingerprints of the requests that are refused because
+	// upstreams crashed while they ran them.
+	Suspended []quarantine.Fingerprint `json:"suspended"`
 }
 
 type upstreamStatus struct {
@@ -45,6 +49,7 @@
 		Connections:   p.Pool.Opened(),
 	}
 	now := time.Now()
+	out.Suspended = g.Suspended(now)
 	for _, u := range snapshot.All() {
 		f, h := u.Facts(), u.Health(now)
 		out.Upstreams = append(out.Upstreams, upstreamStatus{
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -8,16 +8,17 @@
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/gateway"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
 // followStore keeps the routing table and the fleet as the store has them.
-func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlans, b *background, lc fx.Lifecycle) {
-	f := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, log: p.Logger}
+func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlans, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
+	f := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, log: p.Logger}, log: p.Logger}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
-		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix},
+		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix, suspensionsPrefix},
 		WatchPrefix: "",
 		Lapses: func(key string) bool {
 			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
@@ -40,21 +41,33 @@
 	topology       *topology
 	gateways       *gatewayList
 	plans          *rolePlans
+	suspensions    *suspensionReader
 	log            *log.Logger
 	configRevision uint64
+	// lost tells that the store cannot be read; what is applied meanwhile is
+	// another gateway's view.
+	lost bool
 	// faulty are the entries that could not be read, to log each only once.
 	faulty map[string]uint64
 }
 
 func (f *storeFollower) contact(lost bool, err error) {
+	f.lost = lost
 	if lost {
+		f.topology.since.Store(nil)
 		f.log.Warn("store lost; the last known configuration stays in force", "err", err,
 			"config_version", tableVersion(f.topology.tables))
 		return
 	}
+	f.listedFromNow()
 	f.log.Info("store regained", "config_version", tableVersion(f.topology.tables))
 }
 
+func (f *storeFollower) listedFromNow() {
+	now := time.Now()
+	f.topology.since.Store(&now)
+}
+
 func tableVersion(h *routing.Holder) uint64 {
 	if t := h.Table(); t != nil {
 		return t.Version
@@ -63,10 +76,14 @@
 }
 
 func (f *storeFollower) apply(v mirror.View) {
+	if !f.lost && f.topology.since.Load() == nil {
+		f.listedFromNow()
+	}
 	f.applyConfiguration(v)
 	f.applyInstances(v)
 	f.gateways.apply(v, f.log)
 	f.plans.apply(v, f.log)
+	f.suspensions.apply(v)
 	f.topology.listed.Store(true)
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -42,6 +42,7 @@
 	KindTooManyStreams   Kind = "too_many_streams"
 	KindOverloaded       Kind = "overloaded"
 	KindQuarantined      Kind = "request_quarantined"
+	KindSuspended        Kind = "request_suspended"
 	KindUnavailable      Kind = "upstream_unavailable"
 	KindLeaving          Kind = "instance_leaving"
 	KindNotReady         Kind = "not_ready"
@@ -70,6 +71,7 @@
 	KindTooManyStreams:   http.StatusTooManyRequests,
 	KindOverloaded:       http.StatusTooManyRequests,
 	KindQuarantined:      http.StatusUnprocessableEntity,
+	KindSuspended:        http.StatusServiceUnavailable,
 	KindUnavailable:      http.StatusServiceUnavailable,
 	KindLeaving:          http.StatusServiceUnavailable,
 	KindNotReady:         http.StatusServiceUnavailable,
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -42,6 +42,11 @@
 		WithRetryAfter(after)
 }
 
+func refuseSuspended(left time.Duration) *fault.Error {
+	return fault.New(fault.KindSuspended, "change the request, or send it again after Retry-After",
+		"several upstreams crashed while they ran this request").WithRetryAfter(left)
+}
+
 func failUpstream(cause error) *fault.Error {
 	return fault.New(fault.KindUpstreamFailed, "find out what became of the request before you send it again", "the upstream gave no complete answer").
 		WithOutcome(fault.Unknown).WithCause(cause)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,9 +31,12 @@
 	// this one included.
 	Gateways func() int
 	// Listed returns how many gateways are on the list now, this one included.
-	Listed  func() int
-	Logger  *log.Logger
-	Metrics *Metrics
+	Listed func() int
+	// ListedSince returns since when the list of upstreams can be read; zero if it
+	// cannot at the moment.
+	ListedSince func() time.Time
+	Logger      *log.Logger
+	Metrics     *Metrics
 }
 
 // Gateway is the handler of the client port.
@@ -47,6 +50,7 @@
 	scheduler    *scheduler
 	ages         *ages
 	demands      *demands
+	crashes      *crashWatch
 	// announcer tells the other gateways of a change; nil: there is nobody to tell.
 	announcer func()
 }
@@ -57,6 +61,7 @@
 	g.scheduler = newScheduler(g)
 	g.ages = newAges()
 	g.demands = newDemands()
+	g.crashes = newCrashWatch()
 	return g
 }
 
@@ -108,6 +113,11 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.Deadline.Add(-answerMargin), errDeadline)
 	defer cancel()
 	var res outcome
+	if left, held := g.suspended(call, received); held {
+		res.err = refuseSuspended(left)
+		g.finish(w, r, call, res)
+		return
+	}
 	switch {
 	case call.Route.Model && call.Service.Engine != nil:
 		res = g.serveModel(ctx, w, call)
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
 // RunState is one model request at a decode engine, as gateways tell it to
@@ -37,6 +38,8 @@
 	// WaitingLate counts those that cannot.
 	WaitingLate int
 	Engines     []EngineState
+	// Crashes are the news on requests that may crash upstreams.
+	Crashes []quarantine.Notice
 }
 
 // localRun is a request of this gateway at a decode engine.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -78,6 +78,9 @@
 	if gone || !m.call.Route.Resumable || m.res.attempts >= m.call.Route.MaxAttempts {
 		return false
 	}
+	if _, held := m.g.suspended(m.call, time.Now()); held {
+		return false
+	}
 	if !m.g.budget.Spend(m.call.Service.Name, time.Now(), 0) {
 		return false
 	}
@@ -160,7 +163,7 @@
 	r := m.g.send(ctx, m.call, u, Send{Purpose: Prefill, To: to, Left: m.call.Left(began)}, engineMaxIdle)
 	r.took = time.Since(began)
 	if r.err != nil {
-		m.g.observe(ctx, u, r)
+		m.g.observe(ctx, m.call, u, r)
 		return nil, errors.Wrap(r.err, "prefill")
 	}
 	if r.verdict != Answered || r.resp.Status != http.StatusOK {
@@ -216,7 +219,7 @@
 	r := m.g.send(ctx, m.call, u, send, engineMaxIdle)
 	r.took = time.Since(began)
 	if r.err != nil {
-		m.g.observe(ctx, u, r)
+		m.g.observe(ctx, m.call, u, r)
 		m.free(p)
 		if !r.mayHaveRun {
 			m.g.releaseHold(hold, m.call.ID)
@@ -248,6 +251,7 @@
 		m.relay.onFirst = place.prefillDone
 	}
 	err = m.relay.copy(r.resp.Body)
+	m.g.noteStreamEnd(ctx, m.call, to, err)
 	m.res.first, m.res.steps.events = m.relay.first, m.relay.events
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,12 +25,14 @@
 		Waiting:     onTime,
 		WaitingLate: late,
 		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All(), now),
+		Crashes:     g.crashes.list.News(now),
 	}
 }
 
 // Hear takes what another gateway told of its load.
 func (g *Gateway) Hear(peer string, s PeerState, now time.Time) {
 	g.scheduler.load.hear(peer, s, now)
+	g.crashes.list.Hear(s.Crashes, now)
 	for _, e := range s.Engines {
 		if e.Resting > 0 {
 			g.restIfAwake(e, now)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -49,10 +49,12 @@
 // reply is how one send ended.
 type reply struct {
 	upstream *fleet.Upstream
-	resp     *exchange.Response
-	body     []byte
-	verdict  Verdict
-	err      error
+	// to are the upstream's facts at the time of the send.
+	to      *fleet.Instance
+	resp    *exchange.Response
+	body    []byte
+	verdict Verdict
+	err     error
 	// mayHaveRun is false only if the upstream certainly did not run the request.
 	mayHaveRun bool
 	took       time.Duration
@@ -77,6 +79,7 @@
 	if best != nil && best.answered() {
 		res.status = best.resp.Status
 		res.first = time.Now()
+		g.completed(c, res.first)
 		res.abort = g.writeAnswer(w, best)
 		return res
 	}
@@ -151,6 +154,9 @@
 	if r.mayHaveRun && (!p.call.Route.Repeatable() || p.sent >= max(1, p.call.Route.MaxAttempts)) {
 		return false
 	}
+	if _, held := p.g.suspended(p.call, time.Now()); held {
+		return false
+	}
 	if !p.g.budget.Spend(p.call.Service.Name, time.Now(), retryReserve) {
 		return false
 	}
@@ -267,14 +273,14 @@
 		r.body, r.err = readAnswer(r.resp)
 	}
 	r.took = time.Since(began)
-	g.observe(ctx, u, r)
+	g.observe(ctx, c, u, r)
 	return r
 }
 
 // send performs one exchange and judges its answer; the body is still unread
 // unless the answer is a refusal.
 func (g *Gateway) send(ctx context.Context, c *Call, u *fleet.Upstream, s Send, maxIdle time.Duration) *reply {
-	r := &reply{upstream: u}
+	r := &reply{upstream: u, to: s.To}
 	r.resp, r.err = g.Pool.Do(ctx, &exchange.Request{
 		Address:    s.To.Address,
 		Method:     c.Method,
@@ -316,8 +322,9 @@
 }
 
 // observe records what the reply says of the upstream.
-func (g *Gateway) observe(ctx context.Context, u *fleet.Upstream, r *reply) {
+func (g *Gateway) observe(ctx context.Context, c *Call, u *fleet.Upstream, r *reply) {
 	now := time.Now()
+	g.noteEnd(ctx, c, r, now)
 	switch {
 	case r.err != nil && ctx.Err() != nil:
 		// Ended by the gateway or the client; a request that used up its time
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -44,7 +44,7 @@
 	began := time.Now()
 	r = g.send(ctx, c, u, Send{Purpose: Run, To: u.Facts(), Left: c.Left(began), ResumeAfter: c.ResumeAfter}, onceMaxIdle)
 	r.took = time.Since(began)
-	g.observe(ctx, u, r)
+	g.observe(ctx, c, u, r)
 	if !r.mayHaveRun {
 		return r, false
 	}
@@ -61,6 +61,7 @@
 	w.WriteHeader(r.resp.Status)
 	relay := newStreamRelay(w)
 	res.abort = relay.copy(r.resp.Body)
+	g.noteStreamEnd(ctx, c, r.to, res.abort)
 	res.first = relay.first
 	return r, true
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -115,6 +115,7 @@
 		case <-tick.C:
 		case now := <-housekeeping.C:
 			s.forget(now)
+			s.g.sweepCrashes(now)
 			s.g.Pool.Sweep(now)
 		}
 		s.round(ctx, time.Now())
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -58,7 +58,7 @@
 			b = binary.AppendVarint(b, int64(now.Sub(r.Began)/timeUnit))
 		}
 	}
-	return b
+	return appendCrashes(b, m.state.Crashes)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -141,6 +141,7 @@
 		}
 		m.state.Engines = append(m.state.Engines, e)
 	}
+	m.state.Crashes = r.crashes()
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
 func sample(now time.Time) message {
@@ -18,6 +19,10 @@
 				{Prompt: 160, MedianOutput: 320, MaxOutput: 640, Began: now.Add(200 * time.Millisecond)},
 			},
 		}},
+		Crashes: []quarantine.Notice{
+			{Fingerprint: quarantine.Fingerprint{1, 2, 3}, Site: quarantine.Site{Upstream: "i-1", Incarnation: 1700000000000}},
+			{Fingerprint: quarantine.Fingerprint{4, 5, 6}, Acquitted: true},
+		},
 	}}
 }
 
@@ -34,6 +39,22 @@
 	}
 }
 
+// Guards the exchange with processes of the release before crashes were told:
+// their messages end where the notices begin.
+func TestMessageOfEarlierRelease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	want := sample(now)
+	want.state.Crashes = nil
+	b := encode(want, now)
+	got, err := decode(b[:len(b)-1], now) // without the number of notices
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // Guards against a datagram that crashes the receiver or uses up its memory.
 func FuzzDecode(f *testing.F) {
 	now := time.Unix(1000, 0)
