Let gateways take freed places in turn, and tell changes alone

Change: each gateway tells its first waiting request, and leaves a place to those whose requests go first, 10 ms for each, from when it saw the room. Gossip's counters are metrics now, the mirror's unused LastSeen is gone.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/gossip"
 	"github.com/fescueslip/fescueslip/internal/leadership"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/presence"
@@ -81,6 +82,7 @@
 			fleet.New,
 			newMeter,
 			gateway.NewMetrics,
+			gossip.NewMetrics,
 			newGateway,
 			newBackground,
 			newTopology,
--- a/internal/app/gateways.go
+++ b/internal/app/gateways.go
@@ -119,7 +119,7 @@
 }
 
 // joinGateways puts this gateway on the list and exchanges loads with the others.
-func joinGateways(p GatewayProcess, l *gatewayList, g *gateway.Gateway, b *background, lc fx.Lifecycle) error {
+func joinGateways(p GatewayProcess, l *gatewayList, g *gateway.Gateway, m *gossip.Metrics, b *background, lc fx.Lifecycle) error {
 	value, err := json.Marshal(gatewayEntry{Peer: p.Settings.Listen.Peer})
 	if err != nil {
 		return err
@@ -132,6 +132,7 @@
 		Peers:       l.others,
 		State:       g.PeerState,
 		Hear:        g.Hear,
+		Metrics:     m,
 		Logger:      p.Logger,
 	})
 	g.OnChange(node.Announce)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -55,6 +55,7 @@
 	for _, u := range g.Fleet.Snapshot().All() {
 		if f := u.Facts(); f.ID == engine && f.Incarnation == incarnation {
 			u.Rest(f.Role, until)
+			g.scheduler.load.touch(u)
 		}
 	}
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -6,6 +6,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
@@ -32,12 +33,17 @@
 
 // PeerState is what one gateway tells the others.
 type PeerState struct {
+	// Partial tells that only engines whose load changed are named; the load of the
+	// others is as told before.
+	Partial bool
 	// Waiting counts the requests that wait for memory and can still meet their
 	// latency target.
 	Waiting int
 	// WaitingLate counts those that cannot.
 	WaitingLate int
-	Engines     []EngineState
+	// Head is the first waiting request; nil: none waits.
+	Head    *waitqueue.Head
+	Engines []EngineState
 	// Crashes are the news on requests that may crash upstreams.
 	Crashes []quarantine.Notice
 }
@@ -57,6 +63,8 @@
 	runs     int
 	computed time.Time
 	stale    bool
+	// changed is when a request was last known to have come or gone.
+	changed time.Time
 	// tokenRate and prefillRate are the speeds of the engine, in tokens/s.
 	tokenRate, prefillRate float64
 }
@@ -66,6 +74,9 @@
 type loadTable struct {
 	mu      sync.Mutex
 	engines map[engineKey]*engineLoad
+	// untold are the engines on which this gateway's own load has changed since it
+	// was told.
+	untold  map[engineKey]struct{}
 	peers   map[string]*peerLoad
 	lengths map[string]*forecast.Lengths
 }
@@ -78,6 +89,7 @@
 type peerLoad struct {
 	heard                time.Time
 	waiting, waitingLate int
+	head                 *waitqueue.Head
 }
 
 const (
@@ -92,6 +104,7 @@
 func newLoadTable() *loadTable {
 	return &loadTable{
 		engines: make(map[engineKey]*engineLoad),
+		untold:  make(map[engineKey]struct{}),
 		peers:   make(map[string]*peerLoad),
 		lengths: make(map[string]*forecast.Lengths),
 	}
@@ -117,9 +130,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &localRun{state: s}
-	e := t.engine(keyOf(u))
+	k := keyOf(u)
+	e := t.engine(k)
 	e.local[r] = struct{}{}
-	e.stale = true
+	t.untold[k] = struct{}{}
+	e.stale, e.changed = true, time.Now()
 	return r
 }
 
@@ -135,9 +150,11 @@
 func (t *loadTable) end(u *fleet.Upstream, r *localRun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.engine(keyOf(u))
+	k := keyOf(u)
+	e := t.engine(k)
 	delete(e.local, r)
-	e.stale = true
+	t.untold[k] = struct{}{}
+	e.stale, e.changed = true, time.Now()
 }
 
 // rateDecay is the weight of one finished request in an engine's token rate.
@@ -174,23 +191,43 @@
 func (t *loadTable) hear(peer string, s PeerState, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = &peerLoad{heard: now, waiting: s.Waiting, waitingLate: s.WaitingLate}
+	t.peers[peer] = &peerLoad{heard: now, waiting: s.Waiting, waitingLate: s.WaitingLate, head: s.Head}
 	named := make(map[engineKey]bool, len(s.Engines))
 	for _, es := range s.Engines {
 		k := engineKey{id: es.ID, incarnation: es.Incarnation}
 		named[k] = true
 		e := t.engine(k)
+		if !sameRuns(e.remote[peer].Runs, es.Runs) {
+			e.changed = now
+		}
 		e.remote[peer] = es
 		e.stale = true
 	}
+	if s.Partial {
+		return
+	}
 	for k, e := range t.engines {
 		if _, ok := e.remote[peer]; ok && !named[k] {
 			delete(e.remote, peer)
-			e.stale = true
+			e.stale, e.changed = true, now
 		}
 	}
 }
 
+// sameRuns reports whether the requests are the same, whatever the times that
+// are told of them.
+func sameRuns(a, b []RunState) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	prompts, outputs := 0, 0
+	for i := range a {
+		prompts += a[i].Prompt - b[i].Prompt
+		outputs += a[i].MedianOutput - b[i].MedianOutput
+	}
+	return prompts == 0 && outputs == 0
+}
+
 // forget drops the load of peers that fell silent and of engines that are gone.
 func (t *loadTable) forget(now time.Time, known func(engineKey) bool) {
 	t.mu.Lock()
@@ -225,6 +262,27 @@
 	return onTime, late
 }
 
+// heads returns the first waiting requests of the peers.
+func (t *loadTable) heads() []waitqueue.Head {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []waitqueue.Head
+	for _, p := range t.peers {
+		if p.head != nil {
+			out = append(out, *p.head)
+		}
+	}
+	return out
+}
+
+// changedAt returns when a request was last known to have come to the engine or
+// left it.
+func (t *loadTable) changedAt(u *fleet.Upstream) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine(keyOf(u)).changed
+}
+
 // heardPeers returns how many other gateways were heard lately.
 func (t *loadTable) heardPeers() int {
 	t.mu.Lock()
@@ -296,16 +354,27 @@
 	}, e.tokenRate)
 }
 
-// state returns what this gateway tells the others.
-func (t *loadTable) state(upstreams []*fleet.Upstream, now time.Time) []EngineState {
+// touch has the engine told as one whose load changed.
+func (t *loadTable) touch(u *fleet.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.untold[keyOf(u)] = struct{}{}
+}
+
+// state returns what this gateway tells the others: the engines that it uses, or
+// only those whose load has changed.
+func (t *loadTable) state(upstreams []*fleet.Upstream, onlyChanged bool, now time.Time) []EngineState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	defer clear(t.untold)
 	var out []EngineState
 	for _, u := range upstreams {
 		k := keyOf(u)
 		e, ok := t.engines[k]
 		prefill, resting := u.PrefillTokens.Load(), u.RestLeft(now)
-		if prefill == 0 && resting == 0 && (!ok || len(e.local) == 0) {
+		_, changed := t.untold[k]
+		idle := prefill == 0 && resting == 0 && (!ok || len(e.local) == 0)
+		if (onlyChanged && !changed) || (!onlyChanged && idle) {
 			continue
 		}
 		es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: prefill, Resting: resting}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,13 +18,16 @@
 	}
 }
 
-// PeerState returns what the other gateways should know of this one.
-func (g *Gateway) PeerState(now time.Time) PeerState {
-	onTime, late := g.scheduler.counts(now)
+// PeerState returns what the other gateways should know of this one: all of it,
+// or only what changed since the last call.
+func (g *Gateway) PeerState(onlyChanged bool, now time.Time) PeerState {
+	onTime, late, head := g.scheduler.counts(now)
 	return PeerState{
+		Partial:     onlyChanged,
 		Waiting:     onTime,
 		WaitingLate: late,
-		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All(), now),
+		Head:        head,
+		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All(), onlyChanged, now),
 		Crashes:     g.crashes.list.News(now),
 	}
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -38,12 +38,14 @@
 	return time.Duration(float64(c.Model.PromptTokens) / rate * float64(time.Second))
 }
 
-// round places as many waiting requests as the engines have room for.
-func (s *scheduler) round(ctx context.Context, now time.Time) {
+// round places as many waiting requests as the engines have room for. It returns
+// after which time this gateway may take a place that it left to others now; 0 if
+// there is none.
+func (s *scheduler) round(ctx context.Context, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.waiting) == 0 {
-		return
+		return 0
 	}
 	choices := make(map[string]prefillChoice)
 	for _, w := range s.waiting {
@@ -53,35 +55,68 @@
 			choice = s.nextPrefill(name, now)
 			choices[name] = choice
 		}
-		w.state = waitqueue.Request{
-			Slack:    w.target.Sub(now) - w.need - min(choice.wait, maxPrefillWait),
-			Patience: w.until.Sub(now),
-			Priority: w.call.Route.Priority,
-			Tokens:   float64(w.call.Model.PromptTokens) + w.median,
-			Returned: w.returned,
-		}
+		w.look(now, min(choice.wait, maxPrefillWait))
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return waitqueue.Compare(&a.state, &b.state) })
 	othersOnTime, _ := s.load.othersWaiting()
 	crowded := othersOnTime > 0 || s.waiting[0].state.OnTime()
+	heads := s.load.heads()
+	t := turns{}
 	for i, looked := 0, 0; i < len(s.waiting) && looked < lookahead; {
 		w := s.waiting[i]
-		if s.tryPlace(ctx, w, crowded, now) {
+		t.leave = waitqueue.Turn(waitqueue.HeadOf(&w.state, now), heads)
+		if s.tryPlace(ctx, w, crowded, &t, now) {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
 			continue
 		}
 		i++
 		looked++
 	}
+	s.tellHead(now)
+	return t.next
+}
+
+// tellHead has the others hear of a request that has become the first of those
+// that wait here, or can no longer be in time; the lock is held.
+func (s *scheduler) tellHead(now time.Time) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	first := s.waiting[0]
+	head := waitqueue.HeadOf(&first.state, now)
+	if first.told == nil || first.told.Late != head.Late {
+		first.told = &head
+		s.g.announce()
+	}
+}
+
+// turns tells which places this gateway leaves to others at the moment.
+type turns struct {
+	// leave is how long after its last change a place is left to others.
+	leave time.Duration
+	// next is when the first of the places that were left may be taken; 0: none was.
+	next time.Duration
+}
+
+// left reports whether an engine is left to others that go first.
+func (t *turns) left(changed, now time.Time) bool {
+	wait := changed.Add(t.leave).Sub(now)
+	if t.leave == 0 || wait <= 0 {
+		return false
+	}
+	if t.next == 0 || wait < t.next {
+		t.next = wait
+	}
+	return true
 }
 
 // tryPlace places the request if an engine has room for it; the lock is held.
-func (s *scheduler) tryPlace(ctx context.Context, w *waiter, crowded bool, now time.Time) bool {
+func (s *scheduler) tryPlace(ctx context.Context, w *waiter, crowded bool, t *turns, now time.Time) bool {
 	choice := s.nextPrefill(w.call.Service.Name, now)
 	if choice.wait > maxPrefillWait {
 		return false
 	}
-	u := s.engineFor(w, crowded, choice.engine, now)
+	u := s.engineFor(w, crowded, choice.engine, t, now)
 	if u == nil {
 		return false
 	}
@@ -121,7 +156,7 @@
 // engineFor returns the decode engine with the most room for the request, or
 // nil. Without a prefill engine it must read the prompt by itself, and none else
 // at the moment.
-func (s *scheduler) engineFor(w *waiter, crowded bool, prefill *fleet.Upstream, now time.Time) *fleet.Upstream {
+func (s *scheduler) engineFor(w *waiter, crowded bool, prefill *fleet.Upstream, t *turns, now time.Time) *fleet.Upstream {
 	limit := s.fillOf(w.call.Service).Limit(&w.state, crowded)
 	if limit <= 0 {
 		return nil
@@ -130,6 +165,7 @@
 	jitter := gatewayJitter * float64(s.g.Listed()-1)
 	var best *fleet.Upstream
 	var bestCost float64
+	room := false
 	for _, u := range s.g.Fleet.Snapshot().Service(w.call.Service.Name) {
 		if !u.Usable() || u.Facts().Role != fleet.RoleDecode {
 			continue
@@ -156,6 +192,13 @@
 		if peak > limit {
 			continue
 		}
+		room = true
+		if w.roomSince.IsZero() {
+			w.roomSince = now
+		}
+		if t.left(later(s.load.changedAt(u), w.roomSince), now) {
+			continue
+		}
 		cost := peak + failureCost*h.FailureShare
 		if u.Facts().FailureDomain != s.g.FailureDomain {
 			cost += farCost
@@ -168,9 +211,19 @@
 			best, bestCost = u, cost
 		}
 	}
+	if !room {
+		w.roomSince = time.Time{}
+	}
 	return best
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *scheduler) readsPrompt(u *fleet.Upstream) bool {
 	others, _ := s.load.prefill(u)
 	return u.PrefillTokens.Load()+others > 0
@@ -204,6 +257,7 @@
 		tokens:  int64(w.call.Model.PromptTokens),
 	}
 	gr.prefill.PrefillTokens.Add(gr.tokens)
+	s.load.touch(gr.prefill)
 	go s.ask(ctx, w, u, gr)
 }
 
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -21,7 +21,7 @@
 	// reserveMargin is what is reserved beyond the prompt, in tokens.
 	reserveMargin = 512
 	// schedulerTick is how often waiting requests are looked at when nothing happens.
-	schedulerTick = 15 * time.Millisecond
+	schedulerTick = 5 * time.Millisecond
 	// lookahead is how many waiting requests are tried for the room that is free;
 	// a small one may pass a large one that fits nowhere.
 	lookahead = 8
@@ -55,6 +55,11 @@
 	granted chan grant
 	// withdrawn tells that the request no longer waits for a place in the queue.
 	withdrawn bool
+	// roomSince is since when an engine has had room for it; zero: none has.
+	roomSince time.Time
+	// told is what the others were told of it as the first that waits here; nil:
+	// nothing yet.
+	told *waitqueue.Head
 	// state is kept for the sorting of one round.
 	state waitqueue.Request
 }
@@ -107,18 +112,23 @@
 	defer tick.Stop()
 	housekeeping := time.NewTicker(peerSilence / 3)
 	defer housekeeping.Stop()
+	turn := time.NewTimer(schedulerTick)
+	defer turn.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
 		case <-tick.C:
+		case <-turn.C:
 		case now := <-housekeeping.C:
 			s.forget(now)
 			s.g.sweepCrashes(now)
 			s.g.Pool.Sweep(now)
 		}
-		s.round(ctx, time.Now())
+		if next := s.round(ctx, time.Now()); next > 0 {
+			turn.Reset(next)
+		}
 	}
 }
 
@@ -130,8 +140,9 @@
 	s.load.forget(now, func(k engineKey) bool { return known[k] })
 }
 
-// counts returns how many requests wait that can and cannot be in time.
-func (s *scheduler) counts(now time.Time) (onTime, late int) {
+// counts returns how many requests wait that can and cannot be in time, and the
+// first of them.
+func (s *scheduler) counts(now time.Time) (onTime, late int, head *waitqueue.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range s.waiting {
@@ -141,7 +152,35 @@
 			late++
 		}
 	}
-	return onTime, late
+	if first := s.first(now); first != nil {
+		h := waitqueue.HeadOf(&first.state, now)
+		head = &h
+	}
+	return onTime, late, head
+}
+
+// first returns the request that goes first; the lock is held.
+func (s *scheduler) first(now time.Time) *waiter {
+	var first *waiter
+	for _, w := range s.waiting {
+		w.look(now, 0)
+		if first == nil || waitqueue.Compare(&w.state, &first.state) < 0 {
+			first = w
+		}
+	}
+	return first
+}
+
+// look brings the state that orders the request up to date. ahead is the wait
+// for a prefill engine.
+func (w *waiter) look(now time.Time, ahead time.Duration) {
+	w.state = waitqueue.Request{
+		Slack:    w.target.Sub(now) - w.need - ahead,
+		Patience: w.until.Sub(now),
+		Priority: w.call.Route.Priority,
+		Tokens:   float64(w.call.Model.PromptTokens) + w.median,
+		Returned: w.returned,
+	}
 }
 
 // reserve waits for a slot and memory at a decode engine.
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 )
 
 // message is one datagram.
@@ -23,7 +24,11 @@
 }
 
 const (
-	formatVersion = 1
+	// formatFull and formatPartial are the first bytes of messages: the state of
+	// the sender, or what changed in it. Processes of an earlier release read only
+	// the former.
+	formatFull    = 1
+	formatPartial = 2
 	// tokenUnit is the precision of token counts, in tokens.
 	tokenUnit = 16
 	// timeUnit is the precision of times.
@@ -38,7 +43,10 @@
 
 // encode writes the message; times are sent as distances from now, since clocks differ.
 func encode(m message, now time.Time) []byte {
-	b := []byte{formatVersion}
+	b := []byte{formatFull}
+	if m.state.Partial {
+		b[0] = formatPartial
+	}
 	b = appendString(b, m.sender)
 	b = binary.AppendUvarint(b, m.incarnation)
 	b = binary.AppendUvarint(b, m.sequence)
@@ -58,7 +66,8 @@
 			b = binary.AppendVarint(b, int64(now.Sub(r.Began)/timeUnit))
 		}
 	}
-	return appendCrashes(b, m.state.Crashes)
+	b = appendCrashes(b, m.state.Crashes)
+	return appendHead(b, m.state.Head, now)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -104,6 +113,48 @@
 	return s
 }
 
+// maxPriority bounds the rank of a route in a message.
+const maxPriority = 1000
+
+// dueUnit is the precision of a head's time: gateways must agree on the order.
+const dueUnit = time.Millisecond
+
+// The first byte of a head.
+const (
+	noHead = iota
+	headInTime
+	headLate
+)
+
+// appendHead writes the first waiting request at the end of a message: processes
+// of an earlier release do not read it.
+func appendHead(b []byte, h *waitqueue.Head, now time.Time) []byte {
+	if h == nil {
+		return append(b, noHead)
+	}
+	kind := byte(headInTime)
+	if h.Late {
+		kind = headLate
+	}
+	b = append(b, kind)
+	b = binary.AppendUvarint(b, uint64(h.Priority))
+	return binary.AppendVarint(b, int64(h.Due.Sub(now)/dueUnit))
+}
+
+func (r *reader) head(now time.Time) *waitqueue.Head {
+	if r.err != nil || len(r.rest) == 0 {
+		return nil
+	}
+	kind := r.uvarint(headLate)
+	if kind == noHead {
+		return nil
+	}
+	h := &waitqueue.Head{Late: kind == headLate, Priority: int(r.uvarint(maxPriority))}
+	distance := min(max(r.varint(), -maxDistance), maxDistance)
+	h.Due = now.Add(time.Duration(distance) * dueUnit)
+	return h
+}
+
 // maxCount bounds token counts and numbers of requests in a message.
 const maxCount = 1 << 40
 
@@ -114,11 +165,12 @@
 
 // decode reads a message.
 func decode(b []byte, now time.Time) (message, error) {
-	if len(b) == 0 || b[0] != formatVersion {
+	if len(b) == 0 || (b[0] != formatFull && b[0] != formatPartial) {
 		return message{}, errFormat
 	}
 	r := &reader{rest: b[1:]}
 	m := message{sender: r.text(), incarnation: r.uvarint(1<<64 - 1), sequence: r.uvarint(1<<64 - 1)}
+	m.state.Partial = b[0] == formatPartial
 	m.state.Waiting = int(r.uvarint(maxCount))
 	m.state.WaitingLate = int(r.uvarint(maxCount))
 	engines := r.uvarint(maxEngines)
@@ -142,6 +194,7 @@
 		m.state.Engines = append(m.state.Engines, e)
 	}
 	m.state.Crashes = r.crashes()
+	m.state.Head = r.head(now)
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
 func sample(now time.Time) message {
 	return message{sender: "front-a-1", incarnation: 1 << 60, sequence: 7, state: gateway.PeerState{
 		Waiting: 3, WaitingLate: 1,
+		Head: &waitqueue.Head{Priority: 1, Due: now.Add(340 * time.Millisecond)},
 		Engines: []gateway.EngineState{{
 			ID: "i-1", Incarnation: 1700000000000, PrefillTokens: 1600, Resting: 2 * time.Second,
 			Runs: []gateway.RunState{
@@ -44,9 +46,9 @@
 func TestMessageOfEarlierRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	want := sample(now)
-	want.state.Crashes = nil
+	want.state.Crashes, want.state.Head = nil, nil
 	b := encode(want, now)
-	got, err := decode(b[:len(b)-1], now) // without the number of notices
+	got, err := decode(b[:len(b)-2], now) // without the number of notices and the head
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +61,7 @@
 func FuzzDecode(f *testing.F) {
 	now := time.Unix(1000, 0)
 	f.Add(encode(sample(now), now))
-	f.Add([]byte{formatVersion, 1, 'a', 0, 0, 0, 0, 0xff, 0xff, 0x03})
+	f.Add([]byte{formatFull, 1, 'a', 0, 0, 0, 0, 0xff, 0xff, 0x03})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := decode(data, now)
 		if err == nil && m.sender == "" {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -14,15 +14,18 @@
 )
 
 const (
-	// refresh is how often the state is told although nothing changed.
+	// refresh is how often something is told although nothing changed.
 	refresh = 300 * time.Millisecond
+	// fullEvery is after how many of these the whole state is told, to make good
+	// for messages that were lost.
+	fullEvery = 4
 	// gather is how long a change waits for others before it is told.
 	gather = 4 * time.Millisecond
 	// maxDatagram is the largest message; a larger one is not sent.
 	maxDatagram = 32 << 10
 	// bytesPerSecond and burstBytes bound what one process sends to all others.
-	bytesPerSecond = 64 << 10
-	burstBytes     = 64 << 10
+	bytesPerSecond = 128 << 10
+	burstBytes     = 128 << 10
 	// heardLife is how long a peer that is missing on the list is told because
 	// it was heard.
 	heardLife = 3 * time.Second
@@ -37,8 +40,10 @@
 	Conn        net.PacketConn
 	// Peers returns the addresses of the other gateways by name.
 	Peers func() map[string]string
-	State func(now time.Time) gateway.PeerState
-	Hear  func(peer string, s gateway.PeerState, now time.Time)
+	// State returns what to tell: all, or only what changed since it was asked last.
+	State   func(onlyChanged bool, now time.Time) gateway.PeerState
+	Hear    func(peer string, s gateway.PeerState, now time.Time)
+	Metrics *Metrics
 	// Logger gets a line when a peer is heard for the first time or lost.
 	Logger *log.Logger
 }
@@ -49,8 +54,8 @@
 	changed  chan struct{}
 	limiter  *rate.Limiter
 	sequence uint64
-	sent     atomic.Int64
-	faults   atomic.Int64
+	// untilFull is how many refreshes are left until the whole state is told.
+	untilFull atomic.Int32
 
 	mu    sync.Mutex
 	heard map[string]*contact
@@ -83,19 +88,6 @@
 	}
 }
 
-// SentBytes returns how many bytes were sent in all.
-func (n *Node) SentBytes() int64 { return n.sent.Load() }
-
-// Faults returns how many datagrams were not understood or not sent.
-func (n *Node) Faults() int64 { return n.faults.Load() }
-
-// Heard returns how many peers were heard lately.
-func (n *Node) Heard() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(n.heard)
-}
-
 // Run sends and receives until the context ends.
 func (n *Node) Run(ctx context.Context) error {
 	var receiver sync.WaitGroup
@@ -115,6 +107,7 @@
 			time.Sleep(gather)
 		case <-tick.C:
 			n.expire(time.Now())
+			n.untilFull.Add(-1)
 		}
 		n.tell(time.Now())
 	}
@@ -126,19 +119,25 @@
 		return
 	}
 	n.sequence++
-	m := message{sender: n.o.Name, incarnation: n.o.Incarnation, sequence: n.sequence, state: n.o.State(now)}
+	full := n.untilFull.Load() <= 0
+	if full {
+		n.untilFull.Store(fullEvery)
+	}
+	m := message{sender: n.o.Name, incarnation: n.o.Incarnation, sequence: n.sequence, state: n.o.State(!full, now)}
 	b := encode(m, now)
 	if len(b) > maxDatagram || !n.limiter.AllowN(now, len(b)*len(addresses)) {
-		n.faults.Add(1)
+		n.o.Metrics.dropped(reasonLimit)
+		// What was not told now is part of the next whole state.
+		n.untilFull.Store(0)
 		return
 	}
 	for _, a := range addresses {
 		if _, err := n.o.Conn.WriteTo(b, a); err != nil {
 			// A peer that cannot be reached is found by its silence.
-			n.faults.Add(1)
+			n.o.Metrics.dropped(reasonSend)
 			continue
 		}
-		n.sent.Add(int64(len(b)))
+		n.o.Metrics.sent(len(b))
 	}
 }
 
@@ -149,7 +148,7 @@
 	for _, address := range listed {
 		a, err := net.ResolveUDPAddr("udp", address)
 		if err != nil {
-			n.faults.Add(1)
+			n.o.Metrics.dropped(reasonAddress)
 			continue
 		}
 		out = append(out, a)
@@ -170,7 +169,7 @@
 		size, from, err := n.o.Conn.ReadFrom(buf)
 		if err != nil {
 			if ctx.Err() == nil {
-				n.faults.Add(1)
+				n.o.Metrics.dropped(reasonReceive)
 				time.Sleep(gather)
 			}
 			continue
@@ -178,7 +177,7 @@
 		now := time.Now()
 		m, err := decode(buf[:size], now)
 		if err != nil {
-			n.faults.Add(1)
+			n.o.Metrics.dropped(reasonFormat)
 			continue
 		}
 		if m.sender != n.o.Name && n.newer(m, from, now) {
@@ -196,6 +195,7 @@
 	if !known {
 		c = &contact{}
 		n.heard[m.sender] = c
+		n.untilFull.Store(0) // it knows nothing of this process yet
 		n.o.Logger.Info("gateway heard", "peer", m.sender, "address", from.String())
 	}
 	switch {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -117,8 +117,7 @@
 	// regained is when the store was reached again after an outage.
 	regained time.Time
 
-	mu       sync.Mutex
-	lastSeen time.Time
+	mu sync.Mutex
 	// known are the entries of the last view.
 	known []Entry
 }
@@ -128,13 +127,6 @@
 	return &Mirror{o: o, entries: make(map[string]Entry), lapseEnd: make(map[string]time.Time)}
 }
 
-// LastSeen returns when the store last answered.
-func (m *Mirror) LastSeen() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.lastSeen
-}
-
 // Run follows the store until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -171,9 +163,6 @@
 
 // answered notes that the store is reached.
 func (m *Mirror) answered(now time.Time) {
-	m.mu.Lock()
-	m.lastSeen = now
-	m.mu.Unlock()
 	m.pause, m.slow = 0, false
 	if m.lost {
 		m.lost = false
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -95,7 +95,7 @@
 const (
 	// errorSpread is the margin for forecasts that err. The error of a sum of few
 	// large requests is larger, as the root of their share of the memory.
-	errorSpread = 0.52
+	errorSpread = 0.6
 	// lateMargin is what late requests leave to those in time that arrive soon.
 	lateMargin = 0.10
 	// leastFill bounds the margins on small engines.
