--- a/cmd/fescueslip/main.go
+++ b/cmd/fescueslip/main.go
@@ -11,6 +11,7 @@
 	"os"
 
 	"github.com/fescueslip/fescueslip/internal/cli"
+	"github.com/fescueslip/fescueslip/platform/soak"
 )
 
-func main() { os.Exit(cli.Main()) }
+func main() { os.Exit(cli.Main(soak.NewCommand(os.Stdout, os.Stderr))) }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,13 +14,14 @@
 )
 
 // Main runs the subcommand that the arguments name and returns its exit code:
-// 0 success, 1 failure, 2 wrong usage or invalid settings.
-func Main() int {
+// 0 success, 1 failure, 2 wrong usage or invalid settings. The further commands
+// come from packages that this one must not depend on.
+func Main(further ...subcommands.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
-	for _, c := range commands() {
+	for _, c := range append(commands(), further...) {
 		subcommands.Register(c, "")
 	}
 	flag.Parse()
