Learn from other gateways while only this one cannot read the store

The store turned single gateways away for 7 to 9 s, or was cut off from them; those went on with an old list of servers and an old configuration, though the other gateways knew better. The others were asked only by a process that starts.

Change: a gateway that cannot read the store asks its seeds for what is newer than it knows; only one that reads the store answers, and an entry that it does not have any more is dropped. The answer carries revision and currency.

Result: TestCutGatewayLearnsFromOthers failed first (404 for a new route) and passes.

--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -28,7 +28,7 @@
 		Fallback:    seedReader{pool: p.Pool, own: p.Settings.Listen.Control, seeds: p.Settings.Seeds}.read,
 		MinInterval: storeReadInterval,
 	})
-	serveHTTP(p.ControlListener, controlHandler(m), p.Logger, lc)
+	serveHTTP(p.ControlListener, controlHandler(m.Known), p.Logger, lc)
 	lc.Append(fx.StartHook(func() { b.run("store", m.Run) }))
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -95,14 +95,24 @@
 	Apply func(View)
 	// Contact is called when the store is lost or regained.
 	Contact func(lost bool, err error)
-	// Fallback returns the entries that another process has, for a start while the
-	// store is away; nil: there is nobody to ask.
-	Fallback func(ctx context.Context) ([]Entry, error)
+	// Fallback returns what another process knows that goes beyond the revision,
+	// for the time in which this one cannot read the store; nil: there is nobody to
+	// ask. Revision 0 asks for whatever another process knows.
+	Fallback func(ctx context.Context, after uint64) (Snapshot, error)
 	// MinInterval is the shortest time between two watches; changes that come
 	// in quick succession are then read together.
 	MinInterval time.Duration
 }
 
+// Snapshot is what a process knows of the store.
+type Snapshot struct {
+	Entries []Entry
+	// Revision is the store's revision that the entries show.
+	Revision uint64
+	// Current tells that the process reads the store at the moment.
+	Current bool
+}
+
 // Mirror follows a store.
 type Mirror struct {
 	o       Options
@@ -117,9 +127,13 @@
 	// regained is when the store was reached again after an outage.
 	regained time.Time
 
+	// borrowed is the newest revision that another process told; it is ahead of
+	// revision while the store cannot be read.
+	borrowed uint64
+
 	mu sync.Mutex
-	// known are the entries of the last view.
-	known []Entry
+	// known is the last view.
+	known Snapshot
 }
 
 // New returns a mirror that has read nothing yet.
@@ -181,36 +195,62 @@
 	}
 	if !m.lost {
 		m.lost = true
+		m.tell(false)
 		m.o.Contact(true, err)
 	}
-	if m.revision == 0 && m.o.Fallback != nil {
+	if m.o.Fallback != nil {
 		m.borrow(ctx)
 	}
 	m.pause = min(maxPause, max(firstPause, m.pause*2))
 	sleep(ctx, m.pause)
 }
 
-// borrow takes the entries of another process until the store can be read. They
-// count as lapsed: the first listing decides which of them exist.
+// borrow takes over what another process knows until the store can be read.
 func (m *Mirror) borrow(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entries, err := m.o.Fallback(callCtx)
-	if err != nil || len(entries) == 0 {
+	after := max(m.revision, m.borrowed)
+	s, err := m.o.Fallback(callCtx, after)
+	if err != nil {
 		return // the store is asked again soon, and then the others once more
 	}
+	// A process that starts takes whatever others know; the entries count as
+	// lapsed, since the first listing decides which of them exist.
+	starts := m.revision == 0
+	if !starts && (!s.Current || s.Revision <= after) {
+		return
+	}
 	var changed []string
-	for _, e := range entries {
+	found := make(map[string]bool, len(s.Entries))
+	for _, e := range s.Entries {
+		found[e.Key] = true
 		if old, ok := m.entries[e.Key]; !ok || old.Revision < e.Revision {
+			e.Lapsed = starts
 			m.entries[e.Key] = e
 			changed = append(changed, e.Key)
 		}
 	}
+	if !starts {
+		m.borrowed = s.Revision
+		changed = append(changed, m.dropAbsent(found, s.Revision)...)
+	}
 	m.publish(changed)
 }
 
-// Known returns the entries of the last view.
-func (m *Mirror) Known() []Entry {
+// dropAbsent drops the entries that did not exist any more at the revision.
+func (m *Mirror) dropAbsent(found map[string]bool, revision uint64) (dropped []string) {
+	for k, e := range m.entries {
+		if !found[k] && e.Revision <= revision {
+			delete(m.entries, k)
+			delete(m.lapseEnd, k)
+			dropped = append(dropped, k)
+		}
+	}
+	return dropped
+}
+
+// Known returns the last view.
+func (m *Mirror) Known() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.known
@@ -357,21 +397,32 @@
 }
 
 func (m *Mirror) publish(changed []string) {
+	m.tell(len(changed) > 0)
 	if len(changed) == 0 {
 		return
 	}
 	view := View{Entries: make(map[string]Entry, len(m.entries)), Revision: m.revision, Changed: changed}
-	known := make([]Entry, 0, len(m.entries))
 	for k, e := range m.entries {
 		view.Entries[k] = e
-		known = append(known, e)
 	}
-	m.mu.Lock()
-	m.known = known
-	m.mu.Unlock()
 	m.o.Apply(view)
 }
 
+// tell updates what others may ask for.
+func (m *Mirror) tell(changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known.Revision, m.known.Current = max(m.revision, m.borrowed), !m.lost
+	if !changed {
+		return
+	}
+	entries := make([]Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		entries = append(entries, e)
+	}
+	m.known.Entries = entries
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
