--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"net"
 	"os"
@@ -17,7 +16,6 @@
 	"github.com/fescueslip/fescueslip/internal/app"
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/settings"
-	"github.com/fescueslip/fescueslip/internal/strictyaml"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 	"github.com/fescueslip/fescueslip/platform"
 )
@@ -70,12 +68,7 @@
 	}
 	s, err := settings.LoadGateway(c.config)
 	if err != nil {
-		c.env.errorf("gateway: %v\n", err)
-		var faults *strictyaml.Error
-		if errors.As(err, &faults) {
-			return exitFaults
-		}
-		return subcommands.ExitFailure
+		return c.env.settingsFailure("gateway", err)
 	}
 	debug.SetMemoryLimit(int64(float64(s.Memory.Limit) * heapShare))
 	debug.SetGCPercent(garbagePercent)
@@ -135,10 +128,5 @@
 	<-ctx.Done()
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout())
 	defer cancel()
-	if err := a.Stop(stopCtx); err != nil {
-		p.Logger.Error("shutdown failed", "err", err)
-		return subcommands.ExitFailure
-	}
-	p.Logger.Info("stopped")
-	return subcommands.ExitSuccess
+	return stopProcess(stopCtx, a, p.Logger)
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"net"
 	"os"
@@ -10,13 +9,13 @@
 	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/app"
 	"github.com/fescueslip/fescueslip/internal/kvservice"
 	"github.com/fescueslip/fescueslip/internal/settings"
-	"github.com/fescueslip/fescueslip/internal/strictyaml"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
@@ -58,12 +57,7 @@
 	}
 	s, err := settings.Load(c.config)
 	if err != nil {
-		c.env.errorf("serve: %v\n", err)
-		var faults *strictyaml.Error
-		if errors.As(err, &faults) {
-			return exitFaults
-		}
-		return subcommands.ExitFailure
+		return c.env.settingsFailure("serve", err)
 	}
 	process, err := c.process(ctx, s)
 	if err != nil {
@@ -154,10 +148,15 @@
 		case <-stopCtx.Done():
 		}
 	}()
-	if err := a.Stop(stopCtx); err != nil {
-		p.Logger.Error("shutdown failed", "err", err)
+	return stopProcess(stopCtx, a, p.Logger)
+}
+
+// stopProcess shuts a process down and tells how that ended.
+func stopProcess(ctx context.Context, a *fx.App, logger *log.Logger) subcommands.ExitStatus {
+	if err := a.Stop(ctx); err != nil {
+		logger.Error("shutdown failed", "err", err)
 		return subcommands.ExitFailure
 	}
-	p.Logger.Info("stopped")
+	logger.Info("stopped")
 	return subcommands.ExitSuccess
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 // ErrCompacted is returned by Store.Watch when the history after the given
@@ -155,7 +157,7 @@
 			continue
 		}
 		if rest := m.o.MinInterval - time.Since(began); rest > 0 {
-			sleep(ctx, rest)
+			wait.For(ctx, rest)
 		}
 	}
 	return nil
@@ -202,7 +204,7 @@
 		m.borrow(ctx)
 	}
 	m.pause = min(maxPause, max(firstPause, m.pause*2))
-	sleep(ctx, m.pause)
+	wait.For(ctx, m.pause)
 }
 
 // borrow takes over what another process knows until the store can be read.
@@ -422,12 +424,3 @@
 	}
 	m.known.Entries = entries
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
