Let requests of different services not wait for each other's turns

Cause: found on reading: the turn of a gateway counted the first waiting request of every other gateway, whatever service it asks for; with several model services a place would be left to requests that cannot take it. Change: a head names its service; a row in TestTurn. Unused Watchlist.Lift removed.

--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -64,7 +64,7 @@
 	t := turns{}
 	for i, looked := 0, 0; i < len(s.waiting) && looked < lookahead; {
 		w := s.waiting[i]
-		t.leave = waitqueue.Turn(waitqueue.HeadOf(&w.state, now), heads)
+		t.leave = waitqueue.Turn(w.head(now), heads)
 		if s.tryPlace(ctx, w, crowded, &t, now) {
 			s.waiting = slices.Delete(s.waiting, i, i+1)
 			continue
@@ -83,7 +83,7 @@
 		return
 	}
 	first := s.waiting[0]
-	head := waitqueue.HeadOf(&first.state, now)
+	head := first.head(now)
 	if first.told == nil || first.told.Late != head.Late {
 		first.told = &head
 		s.g.announce()
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -153,7 +153,7 @@
 		}
 	}
 	if first := s.first(now); first != nil {
-		h := waitqueue.HeadOf(&first.state, now)
+		h := first.head(now)
 		head = &h
 	}
 	return onTime, late, head
@@ -171,6 +171,11 @@
 	return first
 }
 
+// head returns what the others are told of the request.
+func (w *waiter) head(now time.Time) waitqueue.Head {
+	return waitqueue.HeadOf(w.call.Service.Name, &w.state, now)
+}
+
 // look brings the state that orders the request up to date. ahead is the wait
 // for a prefill engine.
 func (w *waiter) look(now time.Time, ahead time.Duration) {
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -137,6 +137,7 @@
 		kind = headLate
 	}
 	b = append(b, kind)
+	b = appendString(b, h.Service)
 	b = binary.AppendUvarint(b, uint64(h.Priority))
 	return binary.AppendVarint(b, int64(h.Due.Sub(now)/dueUnit))
 }
@@ -149,7 +150,7 @@
 	if kind == noHead {
 		return nil
 	}
-	h := &waitqueue.Head{Late: kind == headLate, Priority: int(r.uvarint(maxPriority))}
+	h := &waitqueue.Head{Service: r.text(), Late: kind == headLate, Priority: int(r.uvarint(maxPriority))}
 	distance := min(max(r.varint(), -maxDistance), maxDistance)
 	h.Due = now.Add(time.Duration(distance) * dueUnit)
 	return h
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -13,7 +13,7 @@
 func sample(now time.Time) message {
 	return message{sender: "front-a-1", incarnation: 1 << 60, sequence: 7, state: gateway.PeerState{
 		Waiting: 3, WaitingLate: 1,
-		Head: &waitqueue.Head{Priority: 1, Due: now.Add(340 * time.Millisecond)},
+		Head: &waitqueue.Head{Service: "mind", Priority: 1, Due: now.Add(340 * time.Millisecond)},
 		Engines: []gateway.EngineState{{
 			ID: "i-1", Incarnation: 1700000000000, PrefillTokens: 1600, Resting: 2 * time.Second,
 			Runs: []gateway.RunState{
--- a/internal/policy/waitqueue/turn.go
+++ b/internal/policy/waitqueue/turn.go
@@ -7,6 +7,8 @@
 
 // Head is the first waiting request of a gateway, as the others see it.
 type Head struct {
+	// Service is what it asks for; requests for other services do not compete.
+	Service string
 	// Late tells that the request cannot be in time any more.
 	Late bool
 	// Priority is the rank of its route; 0 is the most urgent.
@@ -16,12 +18,12 @@
 }
 
 // HeadOf returns the head of a queue whose first request is r.
-func HeadOf(r *Request, now time.Time) Head {
+func HeadOf(service string, r *Request, now time.Time) Head {
 	key := r.lateKey()
 	if r.urgent() {
 		key = r.urgentKey()
 	}
-	return Head{Late: !r.urgent(), Priority: r.Priority, Due: now.Add(time.Duration(key * float64(time.Second)))}
+	return Head{Service: service, Late: !r.urgent(), Priority: r.Priority, Due: now.Add(time.Duration(key * float64(time.Second)))}
 }
 
 // before reports whether the request of h goes before that of o.
@@ -47,7 +49,7 @@
 func Turn(own Head, others []Head) time.Duration {
 	ahead := 0
 	for _, o := range others {
-		if o.before(own) {
+		if o.Service == own.Service && o.before(own) {
 			ahead++
 		}
 	}
--- a/internal/policy/waitqueue/turn_test.go
+++ b/internal/policy/waitqueue/turn_test.go
@@ -9,11 +9,12 @@
 // most urgent request first, in time before late, and nobody waits for itself.
 func TestTurn(t *testing.T) {
 	now := time.Unix(1000, 0)
-	head := func(r Request) Head { return HeadOf(&r, now) }
+	head := func(r Request) Head { return HeadOf("s", &r, now) }
 	urgent := head(Request{Slack: 50 * ms, Patience: time.Second})
 	calm := head(Request{Slack: 600 * ms, Patience: time.Second})
 	late := head(Request{Slack: -1, Patience: 400 * ms})
 	batch := head(Request{Slack: 20 * ms, Priority: 2})
+	elsewhere := HeadOf("other", &Request{Slack: ms}, now)
 	cases := []struct {
 		name   string
 		own    Head
@@ -24,6 +25,7 @@
 		{"most urgent", urgent, []Head{calm, late, batch}, 0},
 		{"one more urgent", calm, []Head{urgent, late}, 1},
 		{"late after all in time", late, []Head{urgent, calm, batch}, 3},
+		{"another service does not count", calm, []Head{elsewhere}, 0},
 		{"less urgent route", batch, []Head{calm, urgent, late}, 2},
 	}
 	for _, c := range cases {
@@ -42,7 +44,7 @@
 	const later = 40 * ms
 	a, b := Request{Slack: 300 * ms}, Request{Slack: 310 * ms}
 	aLater := Request{Slack: a.Slack - later}
-	if Turn(HeadOf(&b, now), []Head{HeadOf(&aLater, now.Add(later))}) == 0 {
+	if Turn(HeadOf("s", &b, now), []Head{HeadOf("s", &aLater, now.Add(later))}) == 0 {
 		t.Error("the less urgent request goes first when the other one is seen later")
 	}
 }
--- a/internal/quarantine/watchlist.go
+++ b/internal/quarantine/watchlist.go
@@ -269,16 +269,6 @@
 	w.until, w.last = now.Add(SuspensionTime), now
 }
 
-// Lift ends a suspension.
-func (l *Watchlist) Lift(f Fingerprint, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if w, ok := l.watched[f]; ok {
-		w.until = time.Time{}
-		w.clear(now)
-	}
-}
-
 // News returns the notices that are due.
 func (l *Watchlist) News(now time.Time) []Notice {
 	l.mu.Lock()
