Reserve no growth where all gateways are heard

Cause: reservations grew with the number of gateways, since the forecast was behind there. Change: a part of the output is reserved only while a listed gateway is not heard.

--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -312,26 +312,19 @@
 const silenceMargin = 150 * time.Millisecond
 
 // holdTokens is the memory to reserve. The forecast covers the growth of the
-// output. What other gateways placed meanwhile is missing in it, the more of them
-// there are, and all of it while one is on the list but not heard; then a part of
-// the expected output must be free, too.
+// output. While a gateway is on the list but not heard, what it placed is missing
+// in the forecast; then a part of the expected output must be free, too.
 func (s *scheduler) holdTokens(w *waiter) int {
-	listed := s.g.Listed()
-	share := growthShare * min(1, float64(listed-1)/manyGateways)
-	if s.load.heardPeers()+1 < listed {
-		share = growthShare
+	tokens := w.call.Model.PromptTokens + reserveMargin
+	if s.load.heardPeers()+1 < s.g.Listed() {
+		tokens += int(w.median * growthShare)
 	}
-	return w.call.Model.PromptTokens + reserveMargin + int(w.median*share)
+	return tokens
 }
 
-const (
-	// growthShare is the part of the expected output that is reserved where the
-	// forecast does not see all requests.
-	growthShare = 0.5
-	// manyGateways is the number of others from which on the forecast is always
-	// behind.
-	manyGateways = 20.0
-)
+// growthShare is the part of the expected output that is reserved where the
+// forecast does not see all requests.
+const growthShare = 0.5
 
 // ended takes a request that has left its engine out of the load.
 func (s *scheduler) ended(gr grant) {
