--- a/internal/app/control_snapshot.go
+++ b/internal/app/control_snapshot.go
@@ -46,7 +46,7 @@
 	Revision uint64 `json:"revision"`
 }
 
-func controlHandler(known func() mirror.Snapshot) http.Handler {
+func controlHandler(known func() mirror.View) http.Handler {
 	engine := gin.New()
 	engine.GET(snapshotPath, func(c *gin.Context) {
 		s := known()
@@ -79,43 +79,43 @@
 // errNothingNew is returned when no other gateway knows more.
 var errNothingNew = errors.New("no other gateway knows more")
 
-// read returns the snapshot of the first gateway that knows more than the revision.
-func (s seedReader) read(ctx context.Context, after uint64) (mirror.Snapshot, error) {
+// read returns the view of the first gateway that knows more than the revision.
+func (s seedReader) read(ctx context.Context, after uint64) (mirror.View, error) {
 	err := errNothingNew
 	for seed := range strings.SplitSeq(s.seeds, ",") {
 		if seed == "" || seed == s.own {
 			continue
 		}
-		var snapshot mirror.Snapshot
-		if snapshot, err = s.ask(ctx, seed, after); err == nil && len(snapshot.Entries) > 0 {
-			return snapshot, nil
+		var view mirror.View
+		if view, err = s.ask(ctx, seed, after); err == nil && len(view.Entries) > 0 {
+			return view, nil
 		}
 	}
 	if err == nil {
 		err = errNothingNew
 	}
-	return mirror.Snapshot{}, err
+	return mirror.View{}, err
 }
 
-func (s seedReader) ask(ctx context.Context, seed string, after uint64) (mirror.Snapshot, error) {
+func (s seedReader) ask(ctx context.Context, seed string, after uint64) (mirror.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	target := snapshotPath + "?" + afterParameter + "=" + strconv.FormatUint(after, 10)
 	resp, err := s.pool.Do(ctx, &exchange.Request{Address: seed, Method: http.MethodGet, Target: target, Host: seed})
 	if err != nil {
-		return mirror.Snapshot{}, errors.Wrap(err, "ask another gateway")
+		return mirror.View{}, errors.Wrap(err, "ask another gateway")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Status == http.StatusNoContent {
-		return mirror.Snapshot{}, errNothingNew
+		return mirror.View{}, errNothingNew
 	}
 	var m snapshotMessage
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshotBytes)).Decode(&m); err != nil {
-		return mirror.Snapshot{}, errors.Wrap(err, "decode another gateway's snapshot")
+		return mirror.View{}, errors.Wrap(err, "decode another gateway's snapshot")
 	}
-	out := mirror.Snapshot{Revision: m.Revision, Current: m.Current, Entries: make([]mirror.Entry, 0, len(m.Entries))}
+	out := mirror.View{Revision: m.Revision, Current: m.Current, Entries: make(map[string]mirror.Entry, len(m.Entries))}
 	for _, e := range m.Entries {
-		out.Entries = append(out.Entries, mirror.Entry{Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}})
+		out.Entries[e.Key] = mirror.Entry{Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}}
 	}
 	return out, nil
 }
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -69,6 +69,21 @@
 	Life context.Context
 }
 
+// Listen opens the listeners that the settings name.
+func (p *GatewayProcess) Listen(listen func(address string) (net.Listener, error)) error {
+	at := p.Settings.Listen
+	for _, l := range []struct {
+		to      *net.Listener
+		address string
+	}{{&p.ClientListener, at.Client}, {&p.ReadyListener, at.Ready}, {&p.ControlListener, at.Control}, {&p.AdminListener, at.Admin}} {
+		var err error
+		if *l.to, err = listen(l.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // GatewayOptions returns the fx options of a gateway process.
 func GatewayOptions(p GatewayProcess) fx.Option {
 	return fx.Options(
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -44,15 +44,11 @@
 	suspensions    *suspensionReader
 	log            *log.Logger
 	configRevision uint64
-	// lost tells that the store cannot be read; what is applied meanwhile is
-	// another gateway's view.
-	lost bool
 	// faulty are the entries that could not be read, to log each only once.
 	faulty map[string]uint64
 }
 
 func (f *storeFollower) contact(lost bool, err error) {
-	f.lost = lost
 	if lost {
 		f.topology.since.Store(nil)
 		f.log.Warn("store lost; the last known configuration stays in force", "err", err,
@@ -76,7 +72,7 @@
 }
 
 func (f *storeFollower) apply(v mirror.View) {
-	if !f.lost && f.topology.since.Load() == nil {
+	if v.Current && f.topology.since.Load() == nil {
 		f.listedFromNow()
 	}
 	f.applyConfiguration(v)
--- a/internal/app/gateways.go
+++ b/internal/app/gateways.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
@@ -139,7 +138,7 @@
 	lc.Append(fx.StartHook(func() {
 		b.run("presence", keeper.Run)
 		b.run("gossip", node.Run)
-		b.run("scheduler", func(ctx context.Context) error { return g.Run(ctx) })
+		b.run("scheduler", g.Run)
 	}))
 	return nil
 }
--- a/internal/app/roles.go
+++ b/internal/app/roles.go
@@ -45,7 +45,7 @@
 		logger.Warn("plan of a role change ignored", "store_revision", e.Revision, "err", err)
 		return
 	}
-	until := time.Now().Add(roles.SwitchLimit(switchTimes(r.tables.Table())[""]))
+	until := time.Now().Add(roles.SwitchLimit(longestSwitch(r.tables.Table())))
 	for _, engine := range plan.Engines {
 		r.gateway.Rest(engine.ID, engine.Incarnation, until)
 		logger.Info("engine changes its role", "upstream", engine.ID, "role", plan.Role, "store_revision", e.Revision)
@@ -53,7 +53,7 @@
 }
 
 // switchTimes returns the services with model engines and the time of a change
-// of role; the empty name stands for the longest.
+// of role.
 func switchTimes(t *routing.Table) map[string]time.Duration {
 	out := make(map[string]time.Duration)
 	if t == nil {
@@ -62,12 +62,20 @@
 	for name, s := range t.Services {
 		if s.Engine != nil {
 			out[name] = s.Engine.SwitchTime
-			out[""] = max(out[""], s.Engine.SwitchTime)
 		}
 	}
 	return out
 }
 
+// longestSwitch returns the longest time of a change of role.
+func longestSwitch(t *routing.Table) time.Duration {
+	longest := time.Duration(0)
+	for _, d := range switchTimes(t) {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
 // manageRoles has this gateway compete for the right to order engines.
 func manageRoles(p GatewayProcess, plans *rolePlans, tables *routing.Holder, f *fleet.Fleet, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
 	elector := leadership.New(leadership.Options{
@@ -80,20 +88,16 @@
 		Logger: p.Logger,
 	})
 	manager := roles.New(roles.Options{
-		Name:    p.Settings.Instance,
-		Lease:   p.Settings.Leadership.Lease,
-		Elector: elector,
-		Clock:   p.Clock,
-		Engines: p.Adapter.Orders,
-		Plans:   p.Adapter.Presence,
-		Fleet:   f,
-		Services: func() map[string]time.Duration {
-			times := switchTimes(tables.Table())
-			delete(times, "")
-			return times
-		},
-		Demand: g.Demand,
-		Logger: p.Logger,
+		Name:     p.Settings.Instance,
+		Lease:    p.Settings.Leadership.Lease,
+		Elector:  elector,
+		Clock:    p.Clock,
+		Engines:  p.Adapter.Orders,
+		Plans:    p.Adapter.Presence,
+		Fleet:    f,
+		Services: func() map[string]time.Duration { return switchTimes(tables.Table()) },
+		Demand:   g.Demand,
+		Logger:   p.Logger,
 	})
 	lc.Append(fx.StartHook(func() {
 		b.run("leadership", elector.Run)
--- a/internal/app/suspensions.go
+++ b/internal/app/suspensions.go
@@ -72,17 +72,17 @@
 		w.log.Error("suspension not shared", "err", err)
 		return
 	}
-	name, _ := s.Fingerprint.MarshalText() // never fails
+	name := s.Fingerprint.String()
 	for end := time.Now().Add(quarantine.SuspensionTime / 2); time.Now().Before(end); {
-		if err = w.put(ctx, suspensionsPrefix+string(name), value); err == nil {
-			w.log.Info("suspension shared", "fingerprint", string(name))
+		if err = w.put(ctx, suspensionsPrefix+name, value); err == nil {
+			w.log.Info("suspension shared", "fingerprint", name)
 			return
 		}
 		if !wait.For(ctx, suspensionRetry) {
 			return
 		}
 	}
-	w.log.Warn("suspension not shared", "fingerprint", string(name), "err", err)
+	w.log.Warn("suspension not shared", "fingerprint", name, "err", err)
 }
 
 func (w *suspensionWriter) put(ctx context.Context, key string, value []byte) error {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -101,19 +101,10 @@
 		Logger:       logger,
 		Reload:       reload,
 	}
-	var err error
-	if p.ClientListener, err = net.Listen("tcp", s.Listen.Client); err != nil {
-		return p, err
-	}
-	if p.ReadyListener, err = net.Listen("tcp", s.Listen.Ready); err != nil {
-		return p, err
-	}
-	if p.AdminListener, err = net.Listen("tcp", s.Listen.Admin); err != nil {
-		return p, err
-	}
-	if p.ControlListener, err = net.Listen("tcp", s.Listen.Control); err != nil {
+	if err := p.Listen(func(address string) (net.Listener, error) { return net.Listen("tcp", address) }); err != nil {
 		return p, err
 	}
+	var err error
 	p.PeerConn, err = net.ListenPacket("udp", s.Listen.Peer)
 	return p, err
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,11 +54,8 @@
 // Error is a failed exchange.
 type Error struct {
 	// Sent tells that the upstream may have received the request.
-	Sent bool
-	// Reused tells that the connection had carried earlier requests, which may
-	// be why it failed.
-	Reused bool
-	Cause  error
+	Sent  bool
+	Cause error
 }
 
 // Error implements error.
@@ -99,12 +96,12 @@
 	c.begin(ctx)
 	resp, err := c.roundTrip(r)
 	if err != nil {
-		sent, reused := c.sent.Load(), c.uses > 1
+		sent := c.sent.Load()
 		c.discard()
 		if ctxErr := context.Cause(ctx); ctxErr != nil {
 			err = errors.Wrap(ctxErr, err.Error())
 		}
-		return nil, &Error{Sent: sent, Reused: reused, Cause: err}
+		return nil, &Error{Sent: sent, Cause: err}
 	}
 	return resp, nil
 }
@@ -226,10 +223,6 @@
 	return n, err
 }
 
-// Framed reports whether the answer tells its own end. An answer that ends with
-// its connection is complete only if the connection was closed in order.
-func (b *Body) Framed() bool { return b.framed }
-
 // finish hands the connection back after a complete answer.
 func (b *Body) finish() {
 	b.done = true
@@ -254,14 +247,6 @@
 	return nil
 }
 
-// SetReadDeadline bounds the next reads; the zero time removes the bound.
-func (b *Body) SetReadDeadline(t time.Time) error {
-	if b.done {
-		return nil
-	}
-	return b.conn.setReadDeadline(t)
-}
-
 // keepAlive returns how long the upstream keeps an idle connection; 0 if unsaid.
 func keepAlive(h http.Header) time.Duration {
 	const prefix = "timeout="
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,10 +35,9 @@
 // Service returns the upstreams of a service, leaving ones included.
 func (s *Snapshot) Service(name string) []*Upstream { return s.byService[name] }
 
-// Has reports whether the list names this life of an instance.
-func (s *Snapshot) Has(id string, incarnation int64) bool {
-	_, ok := s.byKey[key{id: id, incarnation: incarnation}]
-	return ok
+// Find returns the upstream of this life of an instance, or nil.
+func (s *Snapshot) Find(id string, incarnation int64) *Upstream {
+	return s.byKey[key{id: id, incarnation: incarnation}]
 }
 
 // Len returns the number of upstreams.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -123,8 +123,6 @@
 type Reservation struct {
 	ID     string
 	Engine *fleet.Upstream
-	Tokens int
-	Until  time.Time
 }
 
 // Engines are the calls to model engines beside the requests themselves.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -38,6 +38,16 @@
 	return g.crashes.list.Suspended(c.fingerprint(), now)
 }
 
+// repeats takes one repeated send from the retry budget, unless the call has
+// crashed too many upstreams.
+func (g *Gateway) repeats(c *Call, reserve float64) bool {
+	now := time.Now()
+	if _, held := g.suspended(c, now); held {
+		return false
+	}
+	return g.budget.Spend(c.Service.Name, now, reserve)
+}
+
 // brokeOff notes that the upstream ended a run of the call without its end.
 func (g *Gateway) brokeOff(c *Call, to *fleet.Instance, now time.Time) {
 	g.crashes.list.BrokeOff(c.fingerprint(), quarantine.Site{Upstream: to.ID, Incarnation: to.Incarnation}, now)
@@ -77,15 +87,15 @@
 		return
 	}
 	snapshot := g.Fleet.Snapshot()
-	listed := func(at quarantine.Site) bool { return snapshot.Has(at.Upstream, at.Incarnation) }
+	listed := func(at quarantine.Site) bool { return snapshot.Find(at.Upstream, at.Incarnation) != nil }
 	for _, s := range g.crashes.list.Sweep(now, g.ListedSince(), listed) {
-		name, _ := s.Fingerprint.MarshalText() // never fails
-		g.Logger.Error("request suspended: upstreams crashed while they ran it", "fingerprint", string(name),
+		name := s.Fingerprint.String()
+		g.Logger.Error("request suspended: upstreams crashed while they ran it", "fingerprint", name,
 			"crashed", s.Sites, "fleet_revision", snapshot.Revision)
 		select {
 		case g.crashes.found <- s:
 		default:
-			g.Logger.Error("suspension not shared: too many wait to be written", "fingerprint", string(name))
+			g.Logger.Error("suspension not shared: too many wait to be written", "fingerprint", name)
 		}
 	}
 }
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -52,10 +52,8 @@
 // Rest keeps new work from an engine until it has changed its role, or the time
 // is over.
 func (g *Gateway) Rest(engine string, incarnation int64, until time.Time) {
-	for _, u := range g.Fleet.Snapshot().All() {
-		if f := u.Facts(); f.ID == engine && f.Incarnation == incarnation {
-			u.Rest(f.Role, until)
-			g.scheduler.load.touch(u)
-		}
+	if u := g.Fleet.Snapshot().Find(engine, incarnation); u != nil {
+		u.Rest(u.Facts().Role, until)
+		g.scheduler.load.touch(u)
 	}
 }
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -87,9 +87,10 @@
 }
 
 type peerLoad struct {
-	heard                time.Time
-	waiting, waitingLate int
-	head                 *waitqueue.Head
+	heard time.Time
+	// waiting counts the requests that wait there and can be in time.
+	waiting int
+	head    *waitqueue.Head
 }
 
 const (
@@ -191,7 +192,7 @@
 func (t *loadTable) hear(peer string, s PeerState, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = &peerLoad{heard: now, waiting: s.Waiting, waitingLate: s.WaitingLate, head: s.Head}
+	t.peers[peer] = &peerLoad{heard: now, waiting: s.Waiting, head: s.Head}
 	named := make(map[engineKey]bool, len(s.Engines))
 	for _, es := range s.Engines {
 		k := engineKey{id: es.ID, incarnation: es.Incarnation}
@@ -251,15 +252,15 @@
 	}
 }
 
-// othersWaiting sums the requests that wait at the peers.
-func (t *loadTable) othersWaiting() (onTime, late int) {
+// othersWaiting sums the requests that wait at the peers and can be in time.
+func (t *loadTable) othersWaiting() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	onTime := 0
 	for _, p := range t.peers {
 		onTime += p.waiting
-		late += p.waitingLate
 	}
-	return onTime, late
+	return onTime
 }
 
 // heads returns the first waiting requests of the peers.
@@ -275,14 +276,6 @@
 	return out
 }
 
-// changedAt returns when a request was last known to have come to the engine or
-// left it.
-func (t *loadTable) changedAt(u *fleet.Upstream) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.engine(keyOf(u)).changed
-}
-
 // heardPeers returns how many other gateways were heard lately.
 func (t *loadTable) heardPeers() int {
 	t.mu.Lock()
@@ -320,15 +313,25 @@
 	mostRateShare  = 2.0
 )
 
-// outlook returns the forecast of an engine's memory and its number of requests.
-func (t *loadTable) outlook(u *fleet.Upstream, now time.Time) (forecast.Curve, int, float64) {
+// outlook is the load of an engine as far as known.
+type outlook struct {
+	curve forecast.Curve
+	runs  int
+	// tokenRate is the speed of the engine, in tokens/s.
+	tokenRate float64
+	// changed is when a request was last known to have come or gone.
+	changed time.Time
+}
+
+// outlook returns the load of an engine.
+func (t *loadTable) outlook(u *fleet.Upstream, now time.Time) outlook {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.engine(keyOf(u))
 	if e.stale || now.Sub(e.computed) > curveAge {
 		e.compute(now)
 	}
-	return e.curve, e.runs, e.tokenRate
+	return outlook{curve: e.curve, runs: e.runs, tokenRate: e.tokenRate, changed: e.changed}
 }
 
 func (e *engineLoad) compute(now time.Time) {
@@ -363,27 +366,35 @@
 
 // state returns what this gateway tells the others: the engines that it uses, or
 // only those whose load has changed.
-func (t *loadTable) state(upstreams []*fleet.Upstream, onlyChanged bool, now time.Time) []EngineState {
+func (t *loadTable) state(s *fleet.Snapshot, onlyChanged bool, now time.Time) []EngineState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer clear(t.untold)
 	var out []EngineState
-	for _, u := range upstreams {
-		k := keyOf(u)
-		e, ok := t.engines[k]
-		prefill, resting := u.PrefillTokens.Load(), u.RestLeft(now)
-		_, changed := t.untold[k]
-		idle := prefill == 0 && resting == 0 && (!ok || len(e.local) == 0)
-		if (onlyChanged && !changed) || (!onlyChanged && idle) {
-			continue
-		}
-		es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: prefill, Resting: resting}
-		if ok {
-			for r := range e.local {
-				es.Runs = append(es.Runs, r.state)
+	if onlyChanged {
+		for k := range t.untold {
+			if u := s.Find(k.id, k.incarnation); u != nil {
+				out = append(out, t.own(u, now))
 			}
 		}
-		out = append(out, es)
+		return out
+	}
+	for _, u := range s.All() {
+		if es := t.own(u, now); es.PrefillTokens != 0 || es.Resting != 0 || len(es.Runs) > 0 {
+			out = append(out, es)
+		}
 	}
 	return out
 }
+
+// own returns the load that this gateway put on the engine; the lock is held.
+func (t *loadTable) own(u *fleet.Upstream, now time.Time) EngineState {
+	k := keyOf(u)
+	es := EngineState{ID: k.id, Incarnation: k.incarnation, PrefillTokens: u.PrefillTokens.Load(), Resting: u.RestLeft(now)}
+	if e, ok := t.engines[k]; ok {
+		for r := range e.local {
+			es.Runs = append(es.Runs, r.state)
+		}
+	}
+	return es
+}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -78,10 +78,7 @@
 	if gone || !m.call.Route.Resumable || m.res.attempts >= m.call.Route.MaxAttempts {
 		return false
 	}
-	if _, held := m.g.suspended(m.call, time.Now()); held {
-		return false
-	}
-	if !m.g.budget.Spend(m.call.Service.Name, time.Now(), 0) {
+	if !m.g.repeats(m.call, 0) {
 		return false
 	}
 	m.relay.dropPending()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,7 +27,7 @@
 		Waiting:     onTime,
 		WaitingLate: late,
 		Head:        head,
-		Engines:     g.scheduler.load.state(g.Fleet.Snapshot().All(), onlyChanged, now),
+		Engines:     g.scheduler.load.state(g.Fleet.Snapshot(), onlyChanged, now),
 		Crashes:     g.crashes.list.News(now),
 	}
 }
@@ -47,10 +47,8 @@
 // restIfAwake takes over from another gateway that an engine changes its role,
 // which the store may not have told this one. What is known already stays.
 func (g *Gateway) restIfAwake(e EngineState, now time.Time) {
-	for _, u := range g.Fleet.Snapshot().All() {
-		f := u.Facts()
-		if f.ID == e.ID && f.Incarnation == e.Incarnation && u.RestLeft(now) == 0 {
-			u.Rest(f.Role, now.Add(e.Resting))
-		}
+	u := g.Fleet.Snapshot().Find(e.ID, e.Incarnation)
+	if u != nil && u.RestLeft(now) == 0 {
+		u.Rest(u.Facts().Role, now.Add(e.Resting))
 	}
 }
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -58,8 +58,7 @@
 		w.look(now, min(choice.wait, maxPrefillWait))
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *waiter) int { return waitqueue.Compare(&a.state, &b.state) })
-	othersOnTime, _ := s.load.othersWaiting()
-	crowded := othersOnTime > 0 || s.waiting[0].state.OnTime()
+	crowded := s.load.othersWaiting() > 0 || s.waiting[0].state.OnTime()
 	heads := s.load.heads()
 	t := turns{}
 	for i, looked := 0, 0; i < len(s.waiting) && looked < lookahead; {
@@ -177,8 +176,8 @@
 		if prefill == nil && s.readsPrompt(u) {
 			continue
 		}
-		curve, runs, rate := s.load.outlook(u, now)
-		if runs+slotMargin >= engine.Slots {
+		load := s.load.outlook(u, now)
+		if load.runs+slotMargin >= engine.Slots {
 			continue
 		}
 		var own forecast.Curve
@@ -187,8 +186,8 @@
 			MedianOutput: w.median,
 			MaxOutput:    float64(w.call.Model.MaxOutputTokens),
 			Age:          -w.need.Seconds(),
-		}, rate)
-		peak := curve.PeakWith(&own) / float64(engine.MemoryTokens)
+		}, load.tokenRate)
+		peak := load.curve.PeakWith(&own) / float64(engine.MemoryTokens)
 		if peak > limit {
 			continue
 		}
@@ -196,7 +195,7 @@
 		if w.roomSince.IsZero() {
 			w.roomSince = now
 		}
-		if t.left(later(s.load.changedAt(u), w.roomSince), now) {
+		if t.left(later(load.changed, w.roomSince), now) {
 			continue
 		}
 		cost := peak + failureCost*h.FailureShare
@@ -297,9 +296,9 @@
 // logPlaced tells where a request goes and what decided it.
 func (s *scheduler) logPlaced(w *waiter, u *fleet.Upstream, gr grant) {
 	now := time.Now()
-	curve, runs, _ := s.load.outlook(u, now)
+	load := s.load.outlook(u, now)
 	s.g.Logger.Info("request placed", "request", w.call.ID, "upstream", u.Facts().ID, "prefill_at", gr.prefill.Facts().ID,
 		"waited_ms", now.Sub(w.call.Received).Milliseconds(), "slack_ms", w.state.Slack.Milliseconds(),
-		"median_output_tokens", int(w.median), "engine_runs", runs, "engine_peak_tokens", int(curve.Peak()),
+		"median_output_tokens", int(w.median), "engine_runs", load.runs, "engine_peak_tokens", int(load.curve.Peak()),
 		"peers_heard", s.load.heardPeers(), "peers_listed", s.g.Listed()-1, "fleet_revision", s.g.Fleet.Snapshot().Revision)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -154,13 +154,7 @@
 	if r.mayHaveRun && (!p.call.Route.Repeatable() || p.sent >= max(1, p.call.Route.MaxAttempts)) {
 		return false
 	}
-	if _, held := p.g.suspended(p.call, time.Now()); held {
-		return false
-	}
-	if !p.g.budget.Spend(p.call.Service.Name, time.Now(), retryReserve) {
-		return false
-	}
-	return p.start(ctx)
+	return p.g.repeats(p.call, retryReserve) && p.start(ctx)
 }
 
 // logAttempt tells why a send did not give the answer.
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -145,32 +145,25 @@
 func (s *scheduler) counts(now time.Time) (onTime, late int, head *waitqueue.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var first *waiter
 	for _, w := range s.waiting {
+		w.look(now, 0)
 		if now.Before(w.target.Add(-w.need)) {
 			onTime++
 		} else {
 			late++
 		}
+		if first == nil || waitqueue.Compare(&w.state, &first.state) < 0 {
+			first = w
+		}
 	}
-	if first := s.first(now); first != nil {
+	if first != nil {
 		h := first.head(now)
 		head = &h
 	}
 	return onTime, late, head
 }
 
-// first returns the request that goes first; the lock is held.
-func (s *scheduler) first(now time.Time) *waiter {
-	var first *waiter
-	for _, w := range s.waiting {
-		w.look(now, 0)
-		if first == nil || waitqueue.Compare(&w.state, &first.state) < 0 {
-			first = w
-		}
-	}
-	return first
-}
-
 // head returns what the others are told of the request.
 func (w *waiter) head(now time.Time) waitqueue.Head {
 	return waitqueue.HeadOf(w.call.Service.Name, &w.state, now)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -58,12 +59,14 @@
 	Lapsed bool
 }
 
-// View is the content of the store at one revision, as far as the mirror knows.
+// View is the content of the store at one revision, as far as a process knows.
 type View struct {
+	// Entries must not be changed.
 	Entries  map[string]Entry
 	Revision uint64
-	// Changed are the keys that differ from the view before.
-	Changed []string
+	// Current tells that the process reads the store at the moment; else the view
+	// is old, or that of another process.
+	Current bool
 }
 
 const (
@@ -100,21 +103,12 @@
 	// Fallback returns what another process knows that goes beyond the revision,
 	// for the time in which this one cannot read the store; nil: there is nobody to
 	// ask. Revision 0 asks for whatever another process knows.
-	Fallback func(ctx context.Context, after uint64) (Snapshot, error)
+	Fallback func(ctx context.Context, after uint64) (View, error)
 	// MinInterval is the shortest time between two watches; changes that come
 	// in quick succession are then read together.
 	MinInterval time.Duration
 }
 
-// Snapshot is what a process knows of the store.
-type Snapshot struct {
-	Entries []Entry
-	// Revision is the store's revision that the entries show.
-	Revision uint64
-	// Current tells that the process reads the store at the moment.
-	Current bool
-}
-
 // Mirror follows a store.
 type Mirror struct {
 	o       Options
@@ -135,7 +129,7 @@
 
 	mu sync.Mutex
 	// known is the last view.
-	known Snapshot
+	known View
 }
 
 // New returns a mirror that has read nothing yet.
@@ -197,7 +191,7 @@
 	}
 	if !m.lost {
 		m.lost = true
-		m.tell(false)
+		m.tell(nil)
 		m.o.Contact(true, err)
 	}
 	if m.o.Fallback != nil {
@@ -212,47 +206,45 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	after := max(m.revision, m.borrowed)
-	s, err := m.o.Fallback(callCtx, after)
+	v, err := m.o.Fallback(callCtx, after)
 	if err != nil {
 		return // the store is asked again soon, and then the others once more
 	}
 	// A process that starts takes whatever others know; the entries count as
 	// lapsed, since the first listing decides which of them exist.
 	starts := m.revision == 0
-	if !starts && (!s.Current || s.Revision <= after) {
+	if !starts && (!v.Current || v.Revision <= after) {
 		return
 	}
-	var changed []string
-	found := make(map[string]bool, len(s.Entries))
-	for _, e := range s.Entries {
-		found[e.Key] = true
-		if old, ok := m.entries[e.Key]; !ok || old.Revision < e.Revision {
+	changed := false
+	for k, e := range v.Entries {
+		if old, ok := m.entries[k]; !ok || old.Revision < e.Revision {
 			e.Lapsed = starts
-			m.entries[e.Key] = e
-			changed = append(changed, e.Key)
+			m.entries[k] = e
+			changed = true
 		}
 	}
 	if !starts {
-		m.borrowed = s.Revision
-		changed = append(changed, m.dropAbsent(found, s.Revision)...)
+		m.borrowed = v.Revision
+		changed = m.dropAbsent(v) || changed
 	}
 	m.publish(changed)
 }
 
-// dropAbsent drops the entries that did not exist any more at the revision.
-func (m *Mirror) dropAbsent(found map[string]bool, revision uint64) (dropped []string) {
+// dropAbsent drops the entries that did not exist any more at the view's
+// revision; it reports whether there were any.
+func (m *Mirror) dropAbsent(v View) (dropped bool) {
 	for k, e := range m.entries {
-		if !found[k] && e.Revision <= revision {
-			delete(m.entries, k)
-			delete(m.lapseEnd, k)
-			dropped = append(dropped, k)
+		if _, found := v.Entries[k]; !found && e.Revision <= v.Revision {
+			m.drop(k)
+			dropped = true
 		}
 	}
 	return dropped
 }
 
 // Known returns the last view.
-func (m *Mirror) Known() Snapshot {
+func (m *Mirror) Known() View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.known
@@ -295,14 +287,14 @@
 }
 
 func (m *Mirror) watch(ctx context.Context) error {
-	wait := watchWait
+	limit := watchWait
 	// A lapsed entry is dropped in time although nothing changes.
 	if len(m.lapseEnd) > 0 {
-		wait = min(wait, settleTime/4)
+		limit = min(limit, settleTime/4)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+m.timeout())
+	callCtx, cancel := context.WithTimeout(ctx, limit+m.timeout())
 	defer cancel()
-	events, revision, err := m.o.Store.Watch(callCtx, m.o.WatchPrefix, m.revision, wait)
+	events, revision, err := m.o.Store.Watch(callCtx, m.o.WatchPrefix, m.revision, limit)
 	if err != nil {
 		if !errors.Is(err, ErrCompacted) {
 			// A cut watch may have missed changes that the store drops before the
@@ -318,23 +310,22 @@
 
 func (m *Mirror) replaceAll(found map[string]Item, revision uint64) {
 	now := time.Now()
-	var changed []string
+	changed := false
 	for k, item := range found {
 		old, ok := m.entries[k]
 		if ok && old.Revision >= item.Revision && !old.Lapsed {
 			continue
 		}
 		m.put(item)
-		changed = append(changed, k)
+		changed = true
 	}
 	for k, old := range m.entries {
 		_, waits := m.lapseEnd[k]
 		if _, ok := found[k]; ok || (old.Lapsed && waits) {
 			continue
 		}
-		if m.remove(k, now) {
-			changed = append(changed, k)
-		}
+		m.remove(k, now)
+		changed = true
 	}
 	m.revision = max(m.revision, revision)
 	m.publish(changed)
@@ -342,7 +333,7 @@
 
 func (m *Mirror) applyEvents(events []Event, revision uint64) {
 	now := time.Now()
-	var changed []string
+	changed := false
 	for _, e := range events {
 		old, ok := m.entries[e.Key]
 		if ok && old.Revision >= e.Revision && !(old.Lapsed && !e.Deleted) {
@@ -351,9 +342,10 @@
 		switch {
 		case !e.Deleted:
 			m.put(e.Item)
-			changed = append(changed, e.Key)
-		case ok && !old.Lapsed && m.remove(e.Key, now):
-			changed = append(changed, e.Key)
+			changed = true
+		case ok && !old.Lapsed:
+			m.remove(e.Key, now)
+			changed = true
 		}
 	}
 	m.revision = max(m.revision, revision)
@@ -366,18 +358,20 @@
 }
 
 // remove drops an entry, or marks it as lapsed if an outage may be the reason.
-// It reports whether the view changed.
-func (m *Mirror) remove(k string, now time.Time) bool {
+func (m *Mirror) remove(k string, now time.Time) {
 	e := m.entries[k]
 	if m.o.Lapses != nil && m.o.Lapses(k) && !m.regained.IsZero() && now.Sub(m.regained) < settleTime {
 		e.Lapsed = true
 		m.entries[k] = e
 		m.lapseEnd[k] = m.regained.Add(lapseGrace)
-		return true
+		return
 	}
+	m.drop(k)
+}
+
+func (m *Mirror) drop(k string) {
 	delete(m.entries, k)
 	delete(m.lapseEnd, k)
-	return true
 }
 
 func (m *Mirror) dropLapsed(now time.Time) {
@@ -385,42 +379,34 @@
 	if m.lost {
 		return
 	}
-	var changed []string
+	changed := false
 	for k, end := range m.lapseEnd {
 		if now.After(end) {
-			delete(m.lapseEnd, k)
-			delete(m.entries, k)
-			changed = append(changed, k)
+			m.drop(k)
+			changed = true
 		}
 	}
-	if len(changed) > 0 {
+	if changed {
 		m.publish(changed)
 	}
 }
 
-func (m *Mirror) publish(changed []string) {
-	m.tell(len(changed) > 0)
-	if len(changed) == 0 {
+func (m *Mirror) publish(changed bool) {
+	if !changed {
+		m.tell(nil)
 		return
 	}
-	view := View{Entries: make(map[string]Entry, len(m.entries)), Revision: m.revision, Changed: changed}
-	for k, e := range m.entries {
-		view.Entries[k] = e
-	}
-	m.o.Apply(view)
+	m.o.Apply(m.tell(maps.Clone(m.entries)))
 }
 
-// tell updates what others may ask for.
-func (m *Mirror) tell(changed bool) {
+// tell updates what others may ask for and returns it; without entries those
+// told last stay.
+func (m *Mirror) tell(entries map[string]Entry) View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known.Revision, m.known.Current = max(m.revision, m.borrowed), !m.lost
-	if !changed {
-		return
+	if entries != nil {
+		m.known.Entries = entries
 	}
-	entries := make([]Entry, 0, len(m.entries))
-	for _, e := range m.entries {
-		entries = append(entries, e)
-	}
-	m.known.Entries = entries
+	return m.known
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -59,8 +59,7 @@
 	k.apply(func(r *Record) bool { return r.ReportCrash(f, upstream) })
 	v := k.Verdict(f)
 	if v == Quarantined {
-		name, _ := f.MarshalText()
-		k.log.Error("request quarantined: two upstreams crashed while they ran it", "fingerprint", string(name), "upstream", upstream)
+		k.log.Error("request quarantined: two upstreams crashed while they ran it", "fingerprint", f.String(), "upstream", upstream)
 	}
 	return v
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -29,8 +29,11 @@
 // Fingerprint identifies what a request makes the engines run.
 type Fingerprint [16]byte
 
+// String returns the hex digits that name the fingerprint in logs and keys.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // MarshalText implements encoding.TextMarshaler.
-func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(f[:])), nil }
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (f *Fingerprint) UnmarshalText(text []byte) error {
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -45,8 +45,6 @@
 	Role     fleet.Role
 	Busy     bool
 	Accepted uint64
-	Running  int
-	Waiting  int
 }
 
 // Engines are the calls that the manager makes.
