Let BenchmarkGrantPending queue its claims

Cause: the default queue limit of the policy refuses claims whose estimated wait is long, so only 16 of 200 were queued, and the benchmark stopped at its check of 150. The check stays; the benchmark now sets a queue limit of an hour.

--- a/internal/sidecar/aggregates_test.go
+++ b/internal/sidecar/aggregates_test.go
@@ -234,7 +234,9 @@
 // BenchmarkGrantPending measures one check of the queued claims against the forecasts
 // for a full engine with a long queue. The check runs every grantInterval.
 func BenchmarkGrantPending(b *testing.B) {
-	s := newScheduler(config.StaticSource{Fixed: config.BuildSnapshot(1, config.DecodedObjects{})})
+	policy := config.DefaultPolicy()
+	policy.QueueLimit = time.Hour // the default limit would refuse most of the claims
+	s := newScheduler(config.StaticSource{Fixed: config.BuildSnapshot(1, config.DecodedObjects{Policy: &policy})})
 	s.setEngineInfo(engine.Info{Role: engine.RoleDecode, Slots: 20, CapacityTokens: 80_000, ChunkTokens: 2000})
 	s.setEngineUp(true)
 	for i := range 200 {
