Learn the speed of engines, and let prefill backlogs shrink as they are processed

Causes: - Output rate, prefill rate and first-event delay were constants of one kind of engine.

Change: package policy/profile learns the event interval, the first-event delay and the prefill time (a fixed part and a part by tokens), pooled over gateways by gossip, with a fading deviation for each engine. Demand for roles is pooled the same way. The backlog of other gateways shrinks at the measured rate. The fill limit follows the uncertainty of outputs. A quarter of the engines may change their role at once.

--- a/internal/gateway/demandestimator.go
+++ b/internal/gateway/demandestimator.go
@@ -5,50 +5,139 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/roles"
-	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
-// minDemandWeight is the minimum weight of a new request in the moving averages.
-const minDemandWeight = 0.03
+// minWorkWeight is the least weight of a new request in the moving averages.
+const minWorkWeight = 0.03
 
-// demandEstimator estimates the engine time that a request of each service needs.
+// maxWorkRequests is the number of requests from which on a new one has the weight
+// minWorkWeight.
+const maxWorkRequests = 1 / minWorkWeight
+
+// Work is the mean size of the requests of one service.
+type Work struct {
+	// Requests is the number of requests that the means rest on.
+	Requests int
+	// PromptTokens is the mean length of the prompts.
+	PromptTokens float64
+	// OutputTokenSquares is the mean over the requests of the memory that one holds
+	// on average, in tokens, times the length of its output, in tokens. Divided by
+	// the memory and the token rate of an engine, it is the engine time of a request.
+	OutputTokenSquares float64
+}
+
+// observe includes one request.
+func (w *Work) observe(prompt, output float64) {
+	w.Requests++
+	weight := max(minWorkWeight, 1/float64(w.Requests))
+	w.PromptTokens += (prompt - w.PromptTokens) * weight
+	w.OutputTokenSquares += ((prompt+output/2)*output - w.OutputTokenSquares) * weight
+}
+
+// valid reports whether the work reported by a peer can be used.
+func (w Work) valid() bool {
+	return w.Requests > 0 && w.PromptTokens >= 0 && w.OutputTokenSquares >= 0 &&
+		w.PromptTokens < maxReportedTokens && w.OutputTokenSquares < maxReportedTokens*maxReportedTokens
+}
+
+// maxReportedTokens is the largest token count that is accepted from a peer.
+const maxReportedTokens = 1e9
+
+// demandEstimator estimates the size of the requests of each service, from the
+// requests of this gateway and the reports of its peers.
 type demandEstimator struct {
-	mu        sync.Mutex
-	byService map[string]*roles.Demand
+	mu  sync.Mutex
+	own map[string]*Work
+	// peers holds the last report of each peer by service and peer.
+	peers map[string]map[string]Work
 }
 
 func newDemandEstimator() *demandEstimator {
-	return &demandEstimator{byService: make(map[string]*roles.Demand)}
+	return &demandEstimator{own: make(map[string]*Work), peers: make(map[string]map[string]Work)}
 }
 
-// observe updates the estimate of the service with one request.
-func (d *demandEstimator) observe(service *routing.Service, prompt, median, memoryFill float64) {
+// observe includes one request of this gateway.
+func (d *demandEstimator) observe(service string, prompt, output float64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	demand, ok := d.byService[service.Name]
+	w, ok := d.own[service]
 	if !ok {
-		demand = &roles.Demand{}
-		d.byService[service.Name] = demand
+		w = &Work{}
+		d.own[service] = w
+	}
+	w.observe(prompt, output)
+}
+
+// ownWork returns the work of this gateway's requests, for its peers.
+func (d *demandEstimator) ownWork(service string) Work {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w, ok := d.own[service]; ok {
+		return *w
+	}
+	return Work{}
+}
+
+// applyReports replaces the work that a peer reported.
+func (d *demandEstimator) applyReports(peer string, reports []ServiceReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range reports {
+		if !r.Work.valid() {
+			continue
+		}
+		if d.peers[r.Service] == nil {
+			d.peers[r.Service] = make(map[string]Work)
+		}
+		d.peers[r.Service][peer] = r.Work
+	}
+}
+
+// pooled returns the mean over the requests of all gateways.
+func (d *demandEstimator) pooled(service string) Work {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]Work, 0, len(d.peers[service])+1)
+	if w, ok := d.own[service]; ok {
+		all = append(all, *w)
+	}
+	for _, w := range d.peers[service] {
+		all = append(all, w)
+	}
+	var sum Work
+	weights := 0.0
+	for _, w := range all {
+		weight := min(maxWorkRequests, float64(w.Requests))
+		sum.Requests += w.Requests
+		sum.PromptTokens += w.PromptTokens * weight
+		sum.OutputTokenSquares += w.OutputTokenSquares * weight
+		weights += weight
 	}
-	demand.Requests++
-	weight := max(minDemandWeight, 1/float64(demand.Requests))
-	prefill := prompt / defaultPrefillRate
-	// An engine runs as many requests at once as fit into its memory. Each request
-	// occupies its share of the memory while its output is generated.
-	share := (prompt + median/2) / (memoryFill * float64(service.Engine.MemoryTokens))
-	decode := share * median / defaultTokenRate
-	demand.PrefillSeconds += (prefill - demand.PrefillSeconds) * weight
-	demand.DecodeSeconds += (decode - demand.DecodeSeconds) * weight
+	if weights > 0 {
+		sum.PromptTokens /= weights
+		sum.OutputTokenSquares /= weights
+	}
+	return sum
 }
 
 // Demand returns the mean engine time of a request of the service.
-func (g *Gateway) Demand(service string) roles.Demand {
-	g.demandEstimator.mu.Lock()
-	defer g.demandEstimator.mu.Unlock()
-	if m, ok := g.demandEstimator.byService[service]; ok {
-		return *m
+func (g *Gateway) Demand(name string) roles.Demand {
+	table := g.Tables.Table()
+	if table == nil {
+		return roles.Demand{}
+	}
+	service := table.Services[name]
+	if service == nil || service.Engine == nil {
+		return roles.Demand{}
+	}
+	work := g.demandEstimator.pooled(name)
+	speed := g.scheduler.load.speedOf(name)
+	return roles.Demand{
+		Requests:       work.Requests,
+		PrefillSeconds: work.PromptTokens / speed.PrefillRate,
+		// An engine runs as many requests at once as fit into its memory.
+		DecodeSeconds: work.OutputTokenSquares / (g.scheduler.usableMemory(service) * speed.TokenRate(service.Engine.TokensPerEvent)),
 	}
-	return roles.Demand{}
 }
 
 // PauseForRoleChange sends no new work to an engine until the engine has changed its
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -6,8 +6,10 @@
 
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+	"github.com/fescueslip/fescueslip/internal/policy/profile"
 	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
+	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
 // RequestLoad is the load of one model request on a decode engine, as exchanged
@@ -48,6 +50,9 @@
 	Engines   []EngineLoad
 	// CrashNotices reports runs of requests that were interrupted or completed.
 	CrashNotices []quarantine.Notice
+	// Services reports what the sender measured of the model services. It is empty
+	// in a partial state.
+	Services []ServiceReport
 }
 
 // localRequest is a request that this gateway placed on a decode engine.
@@ -62,13 +67,18 @@
 	remote map[string]EngineLoad
 
 	curve        forecast.Curve
+	speed        engineSpeed
 	requestCount int
 	computedAt   time.Time
 	outdated     bool
 	// changedAt is the time of the last known addition or removal of a request.
 	changedAt time.Time
-	// tokenRate and prefillRate are the measured speeds of the engine, in tokens/s.
-	tokenRate, prefillRate float64
+	// service is the name of the engine's service, once known.
+	service string
+	// deviation is how the engine's speed differs from that of its service.
+	deviation profile.Engine
+	// backlog is the work of other gateways in the prefill role.
+	backlog prefillBacklog
 }
 
 // loadTable holds the load of all engines, from this gateway's requests and from the
@@ -81,6 +91,10 @@
 	unsent  map[engineKey]struct{}
 	peers   map[string]*peerQueue
 	lengths map[string]*forecast.OutputLengths
+	// services holds the model services by name.
+	services map[string]*serviceState
+	// prunedAt is the time of the last call of prune.
+	prunedAt time.Time
 }
 
 // engineKey identifies one start of an engine.
@@ -104,17 +118,16 @@
 	peerTimeout = 1500 * time.Millisecond
 	// curveMaxAge is how long a computed memory curve is reused.
 	curveMaxAge = 40 * time.Millisecond
-	// defaultTokenRate is the assumed decode speed of an engine before the first
-	// measurement, in tokens/s.
-	defaultTokenRate = 1100
 )
 
 func newLoadTable() *loadTable {
 	return &loadTable{
-		engines: make(map[engineKey]*aggregateLoad),
-		unsent:  make(map[engineKey]struct{}),
-		peers:   make(map[string]*peerQueue),
-		lengths: make(map[string]*forecast.OutputLengths),
+		engines:  make(map[engineKey]*aggregateLoad),
+		unsent:   make(map[engineKey]struct{}),
+		peers:    make(map[string]*peerQueue),
+		lengths:  make(map[string]*forecast.OutputLengths),
+		services: make(map[string]*serviceState),
+		prunedAt: time.Now(),
 	}
 }
 
@@ -128,7 +141,7 @@
 func (t *loadTable) engine(k engineKey) *aggregateLoad {
 	e, ok := t.engines[k]
 	if !ok {
-		e = &aggregateLoad{local: make(map[*localRequest]struct{}), remote: make(map[string]EngineLoad), tokenRate: defaultTokenRate, prefillRate: defaultPrefillRate}
+		e = &aggregateLoad{local: make(map[*localRequest]struct{}), remote: make(map[string]EngineLoad)}
 		t.engines[k] = e
 	}
 	return e
@@ -142,6 +155,7 @@
 	r := &localRequest{load: load}
 	k := engineKeyOf(u)
 	e := t.engine(k)
+	t.service(u.Instance().Service).observeOutput(float64(load.MedianOutputTokens))
 	e.local[r] = struct{}{}
 	t.unsent[k] = struct{}{}
 	e.outdated, e.changedAt = true, time.Now()
@@ -167,22 +181,6 @@
 	e.outdated, e.changedAt = true, time.Now()
 }
 
-// rateSmoothing is the weight of one measurement in the moving average of an
-// engine's token rate or prefill rate.
-const rateSmoothing = 0.3
-
-// recordCompletion updates the output lengths of the route and the token rate of the
-// engine from a completed request.
-func (t *loadTable) recordCompletion(u *fleet.Upstream, route string, output, maxOutput float64, took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lengthsOf(route).Observe(output, maxOutput)
-	if output > 0 && took > 0 {
-		e := t.engine(engineKeyOf(u))
-		e.tokenRate += (output/took.Seconds() - e.tokenRate) * rateSmoothing
-	}
-}
-
 // lengthsOf returns the output lengths observed on a route, creating them if
 // necessary. The caller holds t.mu.
 func (t *loadTable) lengthsOf(route string) *forecast.OutputLengths {
@@ -201,10 +199,12 @@
 	return t.lengthsOf(route).PredictMedian(float64(d.ExpectedOutputTokens), float64(d.MaxOutputTokens))
 }
 
-// applyPeerState replaces the recorded load of a peer with the reported one.
-func (t *loadTable) applyPeerState(peer string, s PeerState, now time.Time) {
+// applyPeerState replaces the recorded load of a peer with the reported one. It
+// returns the services of which the peer sent an invalid report.
+func (t *loadTable) applyPeerState(peer string, s PeerState, now time.Time) (invalid []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	invalid = t.applyServiceReports(peer, s.Services)
 	t.peers[peer] = &peerQueue{receivedAt: now, waitingOnTime: s.WaitingOnTime, head: s.QueueHead}
 	reported := make(map[engineKey]bool, len(s.Engines))
 	for _, load := range s.Engines {
@@ -215,17 +215,20 @@
 			e.changedAt = now
 		}
 		e.remote[peer] = load
+		t.reportPrefill(e, peer, load.PrefillTokens, now)
 		e.outdated = true
 	}
 	if s.Partial {
-		return
+		return invalid
 	}
 	for k, e := range t.engines {
 		if _, ok := e.remote[peer]; ok && !reported[k] {
 			delete(e.remote, peer)
+			t.reportPrefill(e, peer, 0, now)
 			e.outdated, e.changedAt = true, now
 		}
 	}
+	return invalid
 }
 
 // sameRequests reports whether a and b describe the same requests. It compares only
@@ -255,6 +258,7 @@
 		for _, e := range t.engines {
 			if _, ok := e.remote[name]; ok {
 				delete(e.remote, name)
+				t.reportPrefill(e, name, 0, now)
 				e.outdated = true
 			}
 		}
@@ -263,6 +267,11 @@
 		if len(e.local) == 0 && !known(k) {
 			delete(t.engines, k)
 		}
+		e.deviation.Decay(now.Sub(t.prunedAt))
+	}
+	t.prunedAt = now
+	for _, s := range t.services {
+		s.speed.RetainPeers(func(name string) bool { return t.peers[name] != nil })
 	}
 }
 
@@ -299,59 +308,26 @@
 	return len(t.peers)
 }
 
-// prefillBacklog returns the number of prompt tokens that other gateways have sent
-// to the engine and that are not processed yet, and the prefill speed of the engine
-// in tokens/s.
-func (t *loadTable) prefillBacklog(u *fleet.Upstream) (peerTokens int64, rate float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.engine(engineKeyOf(u))
-	for _, load := range e.remote {
-		peerTokens += load.PrefillTokens
-	}
-	return peerTokens, e.prefillRate
-}
-
-// recordPrefill updates the prefill speed of an engine that processed the given
-// number of tokens, including those that were queued before.
-func (t *loadTable) recordPrefill(u *fleet.Upstream, tokens int64, took time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.engine(engineKeyOf(u))
-	rate := float64(tokens) / max(took, time.Millisecond).Seconds()
-	// Prompts that other gateways sent in the meantime make the engine look slower
-	// than it is, so the measurement is limited.
-	rate = min(max(rate, defaultPrefillRate*minRateShare), defaultPrefillRate*maxRateShare)
-	e.prefillRate += (rate - e.prefillRate) * rateSmoothing
-}
-
-// minRateShare and maxRateShare limit the measured speed of a prefill engine, as
-// multiples of the default speed.
-const (
-	minRateShare = 0.1
-	maxRateShare = 2.0
-)
-
 // engineForecast is the expected memory use and speed of an engine, as far as this
 // gateway knows the engine's load.
 type engineForecast struct {
 	curve        forecast.Curve
 	requestCount int
-	// tokenRate is the speed of the engine, in tokens/s.
-	tokenRate float64
+	speed        engineSpeed
 	// changedAt is the time of the last known addition or removal of a request.
 	changedAt time.Time
 }
 
-// forecastFor returns the forecast of an engine.
-func (t *loadTable) forecastFor(u *fleet.Upstream, now time.Time) engineForecast {
+// forecastFor returns the forecast of an engine of the service.
+func (t *loadTable) forecastFor(u *fleet.Upstream, service *routing.Service, now time.Time) engineForecast {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.engine(engineKeyOf(u))
 	if e.outdated || now.Sub(e.computedAt) > curveMaxAge {
+		e.speed = t.service(service.Name).engineSpeed(service.Engine.TokensPerEvent, &e.deviation)
 		e.recompute(now)
 	}
-	return engineForecast{curve: e.curve, requestCount: e.requestCount, tokenRate: e.tokenRate, changedAt: e.changedAt}
+	return engineForecast{curve: e.curve, requestCount: e.requestCount, speed: e.speed, changedAt: e.changedAt}
 }
 
 // recompute builds the memory curve and the number of requests anew from the local
@@ -377,7 +353,7 @@
 		MedianOutput: float64(r.MedianOutputTokens),
 		MaxOutput:    float64(r.MaxOutputTokens),
 		Age:          now.Sub(r.OutputStart).Seconds(),
-	}, e.tokenRate)
+	}, e.speed.tokenRate, e.speed.curveStep)
 }
 
 // markChanged includes the engine in the next partial state that is sent to peers.
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -161,8 +161,8 @@
 	defer func() { m.outcome.model.prefillTime += time.Since(began) }()
 	instance := u.Instance()
 	m.outcome.model.prefillUpstream = instance.ID
-	peerTokens, _ := m.gateway.scheduler.load.prefillBacklog(u)
-	queuedTokens := u.PrefillTokens.Load() + peerTokens
+	backlog := m.gateway.scheduler.load.prefillState(u, began)
+	idle := u.PrefillTokens.Load()+backlog.peerTokens == placed.promptTokens
 	r := m.gateway.send(ctx, m.call, u, Attempt{Purpose: Prefill, To: instance, Timeout: m.call.Remaining(began)}, engineMaxIdle)
 	r.duration = time.Since(began)
 	if r.err != nil {
@@ -184,8 +184,9 @@
 		u.RecordError()
 		return nil, err
 	}
-	took := time.Since(began)
-	m.gateway.scheduler.load.recordPrefill(u, queuedTokens, took)
+	if idle {
+		m.gateway.scheduler.load.recordPrefill(u, placed.promptTokens, time.Since(began))
+	}
 	return &prefillResult{engine: u, handle: handle}, nil
 }
 
@@ -272,20 +273,31 @@
 	if p != nil {
 		p.engine.RecordSuccess(m.outcome.model.prefillTime)
 	}
-	if per := m.call.Service.Engine.TokensPerEvent; per > 0 && r.resp.Status == http.StatusOK {
-		m.gateway.scheduler.load.recordCompletion(u, m.call.Route.Name, float64(m.relay.events*per),
-			float64(m.call.Model.MaxOutputTokens), time.Since(m.relay.firstWrite))
-	}
+	m.recordSpeed(u, p, began, r.resp.Status)
 	return false, nil
 }
 
+// recordSpeed updates the estimated speed of the engine from a completed stream. A
+// resumed stream tells nothing, because its first events came from another engine.
+func (m *modelExchange) recordSpeed(u *fleet.Upstream, p *prefillResult, began time.Time, status int) {
+	if status != http.StatusOK || m.outcome.model.resumes > 0 || m.relay.firstWrite.IsZero() {
+		return
+	}
+	load := m.gateway.scheduler.load
+	load.recordCompletion(u, m.call, m.relay.events, m.relay.lastWrite.Sub(m.relay.firstWrite))
+	if p != nil {
+		load.recordFirstEvent(m.call.Service.Name, m.relay.firstEventDelay(began))
+	}
+}
+
 // streamRelay forwards a stream of events to the client and never splits an event.
 type streamRelay struct {
-	w          http.ResponseWriter
-	flush      *http.ResponseController
-	pending    []byte
-	firstWrite time.Time
-	events     int
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	pending []byte
+	// firstWrite and lastWrite are the times of the first and the last event.
+	firstWrite, lastWrite time.Time
+	events                int
 	// lastID is the ID of the last forwarded event.
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
@@ -358,8 +370,9 @@
 	if end == 0 {
 		return nil
 	}
+	s.lastWrite = time.Now()
 	if s.firstWrite.IsZero() {
-		s.firstWrite = time.Now()
+		s.firstWrite = s.lastWrite
 		if s.onFirstEvent != nil {
 			s.onFirstEvent()
 		}
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -23,7 +23,7 @@
 // contains only the engines whose load has changed since the last call.
 func (g *Gateway) PeerState(onlyChanged bool, now time.Time) PeerState {
 	onTime, late, head := g.scheduler.queueSummary(now)
-	return PeerState{
+	state := PeerState{
 		Partial:       onlyChanged,
 		WaitingOnTime: onTime,
 		WaitingLate:   late,
@@ -31,11 +31,19 @@
 		Engines:       g.scheduler.load.localState(g.Fleet.Snapshot(), onlyChanged, now),
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
 	}
+	if !onlyChanged {
+		state.Services = g.scheduler.load.serviceReports(g.demandEstimator.ownWork)
+	}
+	return state
 }
 
 // ReceivePeerState applies the state that another gateway sent.
 func (g *Gateway) ReceivePeerState(peer string, s PeerState, now time.Time) {
-	g.scheduler.load.applyPeerState(peer, s, now)
+	s.Services = g.knownModelServices(s.Services)
+	if invalid := g.scheduler.load.applyPeerState(peer, s, now); len(invalid) > 0 {
+		g.Logger.Warn("speed report of a gateway ignored, because it is not a number", "peer", peer, "services", invalid)
+	}
+	g.demandEstimator.applyReports(peer, s.Services)
 	g.crashDetector.watchlist.AddNotices(s.CrashNotices, now)
 	for _, e := range s.Engines {
 		if e.RoleChangeRemaining > 0 {
@@ -54,3 +62,19 @@
 		u.PauseRole(u.Instance().Role, now.Add(e.RoleChangeRemaining))
 	}
 }
+
+// knownModelServices returns the reports on model services of the routing table. A
+// peer may report any name, and each one would be stored.
+func (g *Gateway) knownModelServices(reports []ServiceReport) []ServiceReport {
+	table := g.Tables.Table()
+	if table == nil {
+		return nil
+	}
+	var known []ServiceReport
+	for _, r := range reports {
+		if s := table.Services[r.Service]; s != nil && s.Engine != nil {
+			known = append(known, r)
+		}
+	}
+	return known
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -11,12 +11,16 @@
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/forecast"
 	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
+	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
 const (
-	// maxPrefillWait is how long a prompt may wait at a prefill engine. Further
-	// requests wait in the gateway's queue, which is ordered by urgency.
-	maxPrefillWait = 300 * time.Millisecond
+	// maxPrefillWaitShare is the part of the latency target for which a prompt may
+	// wait at a prefill engine. Further requests wait in the gateway's queue, which is
+	// ordered by urgency.
+	maxPrefillWaitShare = 1.0 / 5
+	// defaultMaxPrefillWait applies to routes without a latency target.
+	defaultMaxPrefillWait = 180 * time.Millisecond
 	// decodeEnginePrefillShare is the prefill speed of a decode engine as a share of
 	// that of a prefill engine.
 	decodeEnginePrefillShare = 0.5
@@ -34,12 +38,16 @@
 	// wait is the time until the engine has processed the prompts that it already
 	// has.
 	wait time.Duration
-	rate float64
+	// prompt is the time from the end of the wait to the result.
+	prompt time.Duration
 }
 
-// prefillTime returns the time to prefill the whole prompt at rate, in tokens/s.
-func prefillTime(c *Call, rate float64) time.Duration {
-	return time.Duration(float64(c.Model.PromptTokens) / rate * float64(time.Second))
+// maxPrefillWait returns how long a prompt of the route may wait at a prefill engine.
+func maxPrefillWait(r *routing.Route) time.Duration {
+	if r.LatencyTarget <= 0 {
+		return defaultMaxPrefillWait
+	}
+	return time.Duration(maxPrefillWaitShare * float64(r.LatencyTarget))
 }
 
 // placeWaiting places as many waiting requests as the engines have capacity for. It
@@ -56,10 +64,10 @@
 		name := w.call.Service.Name
 		choice, ok := choices[name]
 		if !ok {
-			choice = s.selectPrefillEngine(name, now)
+			choice = s.selectPrefillEngine(name, w.call.Model.PromptTokens, now)
 			choices[name] = choice
 		}
-		w.updateQueueState(now, min(choice.wait, maxPrefillWait))
+		w.updateQueueState(now, min(choice.wait, maxPrefillWait(w.call.Route)))
 	}
 	slices.SortStableFunc(s.waiting, func(a, b *waitingRequest) int { return waitqueue.Compare(&a.queueState, &b.queueState) })
 	contended := s.load.peersWaitingOnTime() > 0 || s.waiting[0].queueState.OnTime()
@@ -119,8 +127,8 @@
 // tryPlace places the request if an engine has capacity for it. The caller holds
 // s.mu.
 func (s *scheduler) tryPlace(ctx context.Context, w *waitingRequest, contended bool, turn *turnDelay, now time.Time) bool {
-	choice := s.selectPrefillEngine(w.call.Service.Name, now)
-	if choice.wait > maxPrefillWait {
+	choice := s.selectPrefillEngine(w.call.Service.Name, w.call.Model.PromptTokens, now)
+	if choice.wait > maxPrefillWait(w.call.Route) {
 		return false
 	}
 	u := s.selectDecodeEngine(w, contended, choice.engine, turn, now)
@@ -128,15 +136,16 @@
 		return false
 	}
 	if choice.engine == nil {
-		choice = prefillChoice{engine: u, rate: defaultPrefillRate * decodeEnginePrefillShare}
+		prompt := s.load.prefillState(u, now).speed.PrefillTime(float64(w.call.Model.PromptTokens))
+		choice = prefillChoice{engine: u, prompt: time.Duration(float64(prompt) / decodeEnginePrefillShare)}
 	}
 	s.startReservation(ctx, w, u, choice, now)
 	return true
 }
 
-// selectPrefillEngine returns the prefill engine with the lowest cost, which is
-// mainly its waiting time. The engine is nil if none is available.
-func (s *scheduler) selectPrefillEngine(service string, now time.Time) prefillChoice {
+// selectPrefillEngine returns the prefill engine with the lowest cost for a prompt,
+// which is mainly its waiting time. The engine is nil if none is available.
+func (s *scheduler) selectPrefillEngine(service string, promptTokens int, now time.Time) prefillChoice {
 	var best prefillChoice
 	var bestCost time.Duration
 	for _, u := range s.gateway.Fleet.Snapshot().Service(service) {
@@ -147,14 +156,14 @@
 		if h.Paused || h.Avoid || h.Full {
 			continue
 		}
-		peerTokens, rate := s.load.prefillBacklog(u)
-		wait := time.Duration(float64(u.PrefillTokens.Load()+peerTokens) / rate * float64(time.Second))
+		state := s.load.prefillState(u, now)
+		wait := time.Duration(float64(u.PrefillTokens.Load()+state.peerTokens) / state.speed.PrefillRate * float64(time.Second))
 		cost := wait + time.Duration(h.FailureShare*float64(failureWaitPenalty))
 		if u.Instance().FailureDomain != s.gateway.FailureDomain {
 			cost += crossDomainWait
 		}
 		if best.engine == nil || cost < bestCost {
-			best, bestCost = prefillChoice{engine: u, wait: wait, rate: rate}, cost
+			best, bestCost = prefillChoice{engine: u, wait: wait, prompt: state.speed.PrefillTime(float64(promptTokens))}, cost
 		}
 	}
 	return best
@@ -181,10 +190,10 @@
 		if h.Avoid || h.Full || h.Paused {
 			continue
 		}
-		if prefill == nil && s.hasPrefillBacklog(u) {
+		if prefill == nil && s.hasPrefillBacklog(u, now) {
 			continue
 		}
-		load := s.load.forecastFor(u, now)
+		load := s.load.forecastFor(u, w.call.Service, now)
 		if load.requestCount+unusedSlots >= engine.Slots {
 			continue
 		}
@@ -194,7 +203,7 @@
 			MedianOutput: w.medianOutput,
 			MaxOutput:    float64(w.call.Model.MaxOutputTokens),
 			Age:          -w.minDelay.Seconds(),
-		}, load.tokenRate)
+		}, load.speed.tokenRate, load.speed.curveStep)
 		peak := load.curve.PeakWith(&own) / float64(engine.MemoryTokens)
 		if peak > limit {
 			continue
@@ -233,9 +242,8 @@
 
 // hasPrefillBacklog reports whether prompts sent by this gateway or, as far as
 // known, by others wait for a prefill at the engine or are being processed by it.
-func (s *scheduler) hasPrefillBacklog(u *fleet.Upstream) bool {
-	peerTokens, _ := s.load.prefillBacklog(u)
-	return u.PrefillTokens.Load()+peerTokens > 0
+func (s *scheduler) hasPrefillBacklog(u *fleet.Upstream, now time.Time) bool {
+	return u.PrefillTokens.Load()+s.load.prefillState(u, now).peerTokens > 0
 }
 
 const (
@@ -257,30 +265,41 @@
 // in the background. The caller holds s.mu.
 func (s *scheduler) startReservation(ctx context.Context, w *waitingRequest, u *fleet.Upstream, choice prefillChoice, now time.Time) {
 	w.attempts++
-	outputStart := now.Add(outputStartDelay + choice.wait + prefillTime(w.call, choice.rate))
+	firstEvent := s.load.speedOf(w.call.Service.Name).FirstEventDelay
+	prefill := choice.wait + choice.prompt
 	placed := placement{
 		request: s.load.add(u, RequestLoad{
 			PromptTokens:       w.call.Model.PromptTokens,
 			MedianOutputTokens: int(w.medianOutput),
 			MaxOutputTokens:    w.call.Model.MaxOutputTokens,
-			OutputStart:        outputStart,
+			OutputStart:        now.Add(prefill + firstEvent),
 		}),
 		prefillEngine: choice.engine,
 		promptTokens:  int64(w.call.Model.PromptTokens),
 	}
 	placed.prefillEngine.PrefillTokens.Add(placed.promptTokens)
 	s.load.markChanged(placed.prefillEngine)
-	go s.requestReservation(ctx, w, u, placed)
+	go s.requestReservation(ctx, w, u, placed, reservationLease(w.call.Service, prefill))
+}
+
+// reservationLease returns the lease of a reservation for a request whose prompt
+// will be processed after the given time.
+func reservationLease(service *routing.Service, prefill time.Duration) time.Duration {
+	lease := reservationMargin + 2*prefill
+	if longest := service.Engine.MaxReservationLease; longest > 0 {
+		lease = min(lease, longest)
+	}
+	return lease
 }
 
 // requestReservation requests a reservation at the engine and passes the placement
 // to the waiting request. If the reservation fails, the request is put back into
 // the queue, unless it was withdrawn or ctx has ended.
-func (s *scheduler) requestReservation(ctx context.Context, w *waitingRequest, u *fleet.Upstream, placed placement) {
+func (s *scheduler) requestReservation(ctx context.Context, w *waitingRequest, u *fleet.Upstream, placed placement, lease time.Duration) {
 	callCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	s.gateway.announce()
-	reservation, err := s.gateway.EngineClient.Reserve(callCtx, u, s.reservationTokens(w), reservationLease)
+	reservation, err := s.gateway.EngineClient.Reserve(callCtx, u, s.reservationTokens(w), lease)
 	if err == nil {
 		placed.reservation = reservation
 		s.logPlacement(w, u, placed)
@@ -313,9 +332,9 @@
 // on.
 func (s *scheduler) logPlacement(w *waitingRequest, u *fleet.Upstream, placed placement) {
 	now := time.Now()
-	load := s.load.forecastFor(u, now)
+	load := s.load.forecastFor(u, w.call.Service, now)
 	s.gateway.Logger.Info("request placed", "request", w.call.ID, "upstream", u.Instance().ID, "prefill_at", placed.prefillEngine.Instance().ID,
 		"waited_ms", now.Sub(w.call.Received).Milliseconds(), "slack_ms", w.queueState.Slack.Milliseconds(),
-		"median_output_tokens", int(w.medianOutput), "engine_runs", load.requestCount, "engine_peak_tokens", int(load.curve.Peak()),
+		"median_output_tokens", int(w.medianOutput), "engine_runs", load.requestCount, "engine_peak_tokens", int(load.curve.Peak()), "engine_tokens_per_s", int(load.speed.tokenRate),
 		"peers_heard", s.load.activePeers(), "peers_listed", s.gateway.ListedGateways()-1, "fleet_revision", s.gateway.Fleet.Snapshot().Revision)
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// reservationLease is the lease of a reservation. It covers the wait for a
-	// prefill engine and the prefill.
-	reservationLease = 1500 * time.Millisecond
+	// reservationMargin is the part of a reservation's lease that remains after the
+	// wait for a prefill engine and twice the expected prefill.
+	reservationMargin = time.Second
 	// reserveTimeout limits one reservation call to an engine.
 	reserveTimeout = 250 * time.Millisecond
-	// reserveExtraTokens is the memory reserved in addition to the prompt, in
-	// tokens.
-	reserveExtraTokens = 512
+	// reservedOutputShare is the part of the expected output that is reserved in
+	// addition to the prompt: what the output grows by until the forecast counts it.
+	reservedOutputShare = 0.125
 	// schedulerInterval is the longest time between two rounds in which waiting
 	// requests are placed. wakeUp starts a round earlier.
 	schedulerInterval = 5 * time.Millisecond
@@ -30,17 +30,8 @@
 	// unusedSlots is the number of slots of an engine that stay unused, because the
 	// gateways learn of each other's requests with a delay.
 	unusedSlots = 1
-	// firstEventDelay is the assumed time from the end of the prefill to the first
-	// event of the response stream.
-	firstEventDelay = 25 * time.Millisecond
 	// clientLatency is the assumed time that a response takes to reach the client.
 	clientLatency = 10 * time.Millisecond
-	// defaultPrefillRate is the assumed prefill speed before the first measurement,
-	// in tokens/s.
-	defaultPrefillRate = 45_000
-	// outputStartDelay is the assumed time from the placement of a request to the
-	// start of its output, excluding the prefill and the wait for a prefill engine.
-	outputStartDelay = 30 * time.Millisecond
 )
 
 // waitingRequest is a model request that waits for a reservation.
@@ -99,12 +90,18 @@
 
 	mu      sync.Mutex
 	waiting []*waitingRequest
-	// meanTokens is the mean memory that a request needs, in tokens, by service.
-	meanTokens map[string]float64
+	// sizes holds the mean size of the requests, by service.
+	sizes map[string]requestSize
+}
+
+// requestSize is the memory that a request needs at its end, and the part of it that
+// its output takes, both in tokens.
+type requestSize struct {
+	tokens, output float64
 }
 
 func newScheduler(g *Gateway) *scheduler {
-	return &scheduler{gateway: g, load: newLoadTable(), wake: make(chan struct{}, 1), meanTokens: make(map[string]float64)}
+	return &scheduler{gateway: g, load: newLoadTable(), wake: make(chan struct{}, 1), sizes: make(map[string]requestSize)}
 }
 
 // wakeUp starts the next round without waiting for schedulerInterval.
@@ -222,13 +219,23 @@
 // s.mu.
 func (s *scheduler) recordSize(w *waitingRequest) {
 	service := w.call.Service
-	size := float64(w.call.Model.PromptTokens) + w.medianOutput
-	mean, known := s.meanTokens[service.Name]
+	size := requestSize{tokens: float64(w.call.Model.PromptTokens) + w.medianOutput, output: w.medianOutput}
+	mean, known := s.sizes[service.Name]
 	if !known {
 		mean = size
 	}
-	s.meanTokens[service.Name] = mean + (size-mean)*sizeSmoothing
-	s.gateway.demandEstimator.observe(service, float64(w.call.Model.PromptTokens), w.medianOutput, s.fillLimits(service).OnTime)
+	mean.tokens += (size.tokens - mean.tokens) * sizeSmoothing
+	mean.output += (size.output - mean.output) * sizeSmoothing
+	s.sizes[service.Name] = mean
+	s.gateway.demandEstimator.observe(service.Name, float64(w.call.Model.PromptTokens), w.medianOutput)
+}
+
+// usableMemory returns the memory of an engine of the service that requests may
+// fill, in tokens.
+func (s *scheduler) usableMemory(service *routing.Service) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fillLimits(service).OnTime * float64(service.Engine.MemoryTokens)
 }
 
 // sizeSmoothing is the weight of one request in the moving average of request sizes.
@@ -237,7 +244,8 @@
 // fillLimits returns the limits on the memory use of a service's engines. The caller
 // holds s.mu.
 func (s *scheduler) fillLimits(service *routing.Service) waitqueue.FillLimits {
-	return waitqueue.NewFillLimits(s.meanTokens[service.Name], float64(service.Engine.MemoryTokens))
+	size := s.sizes[service.Name]
+	return waitqueue.NewFillLimits(size.tokens, size.output, float64(service.Engine.MemoryTokens))
 }
 
 // withdraw removes a request from the queue. A reservation that is already in
@@ -304,12 +312,12 @@
 		placed:       make(chan placement, 1),
 		isRetry:      c.RetryAge > 0,
 	}
-	w.minDelay = firstEventDelay + clientLatency + prefillTime(c, defaultPrefillRate)
+	speed := s.load.speedOf(c.Service.Name)
+	w.minDelay = minPrefillTime(c, speed)
 	w.firstEventDeadline = c.Received.Add(c.Route.LatencyTarget - c.RetryAge)
 	// Output that the deadline cuts off has no value, so the request must be placed
 	// early enough to finish.
-	output := time.Duration(w.medianOutput / defaultTokenRate * float64(time.Second))
-	w.refuseAt = c.Deadline.Add(-w.minDelay - output)
+	w.refuseAt = c.Deadline.Add(-w.minDelay - outputTime(w.medianOutput, c.Service, speed))
 	if silenceLimit := c.Route.ClientEventTimeout; silenceLimit > 0 {
 		if t := c.Received.Add(silenceLimit - w.minDelay - silenceMargin); t.Before(w.refuseAt) {
 			w.refuseAt = t
@@ -331,7 +339,7 @@
 // forecast lacks the requests that it placed. In that case a part of the expected
 // output is reserved too.
 func (s *scheduler) reservationTokens(w *waitingRequest) int {
-	tokens := w.call.Model.PromptTokens + reserveExtraTokens
+	tokens := w.call.Model.PromptTokens + int(w.medianOutput*reservedOutputShare)
 	if s.load.activePeers()+1 < s.gateway.ListedGateways() {
 		tokens += int(w.medianOutput * unseenOutputShare)
 	}
--- /dev/null
+++ b/internal/gateway/speeds.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/policy/forecast"
+	"github.com/fescueslip/fescueslip/internal/policy/profile"
+	"github.com/fescueslip/fescueslip/internal/routing"
+)
+
+// ServiceReport is what a gateway tells its peers about one model service: the speed
+// of the engines and the size of the requests, as measured by this gateway alone.
+type ServiceReport struct {
+	Service string
+	Speed   profile.Measurements
+	Work    Work
+}
+
+// serviceState is what is known about the engines and requests of one model service.
+type serviceState struct {
+	speed *profile.Service
+	// meanOutput is the mean of the predicted output lengths, in tokens. It is 0
+	// before the first request.
+	meanOutput float64
+}
+
+// outputSmoothing is the weight of one request in the mean of output lengths.
+const outputSmoothing = 0.05
+
+// service returns the state of a service, creating it if necessary. The caller holds
+// t.mu.
+func (t *loadTable) service(name string) *serviceState {
+	s, ok := t.services[name]
+	if !ok {
+		s = &serviceState{speed: profile.NewService()}
+		t.services[name] = s
+	}
+	return s
+}
+
+// observeOutput includes the predicted output length of a request in the mean.
+func (s *serviceState) observeOutput(median float64) {
+	if s.meanOutput == 0 {
+		s.meanOutput = median
+	}
+	s.meanOutput += (median - s.meanOutput) * outputSmoothing
+}
+
+// engineSpeed is the estimated speed of one engine.
+type engineSpeed struct {
+	// tokenRate is the output of one stream, in tokens/s.
+	tokenRate float64
+	// curveStep is the time between two points of the engine's memory curve, in
+	// seconds.
+	curveStep float64
+}
+
+// engineSpeed returns the speed of an engine of the service.
+func (s *serviceState) engineSpeed(tokensPerEvent int, e *profile.Engine) engineSpeed {
+	rate := s.speed.Speed().TokenRate(tokensPerEvent)
+	return engineSpeed{
+		tokenRate: rate / e.StreamSlowdown(),
+		curveStep: forecast.StepSeconds(s.meanOutput / rate),
+	}
+}
+
+// speedOf returns the estimated speed of the engines of a service.
+func (t *loadTable) speedOf(service string) profile.Speed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(service).speed.Speed()
+}
+
+// recordCompletion updates the output lengths of the route and the speed of the
+// engine from a completed stream. took is the time from its first to its last event.
+func (t *loadTable) recordCompletion(u *fleet.Upstream, c *Call, events int, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if per := c.Service.Engine.TokensPerEvent; per > 0 {
+		t.lengthsOf(c.Route.Name).Observe(float64(events*per), float64(c.Model.MaxOutputTokens))
+	}
+	s := t.service(c.Service.Name).speed
+	if interval, ok := s.ObserveStream(events, took); ok {
+		t.engine(engineKeyOf(u)).deviation.ObserveStream(interval, s.Speed())
+	}
+}
+
+// recordFirstEvent updates the time that engines take to the first event after a
+// decode request whose prompt was processed elsewhere.
+func (t *loadTable) recordFirstEvent(service string, delay time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(service).speed.ObserveFirstEvent(delay)
+}
+
+// recordPrefill updates the prefill speed of an engine that, as far as this gateway
+// knew, had no other prompt. The time of others says less: how much of the backlog an
+// engine has processed already is not known.
+func (t *loadTable) recordPrefill(u *fleet.Upstream, tokens int64, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(u.Instance().Service).speed
+	if s.ObservePrefill(tokens, took) {
+		t.engine(engineKeyOf(u)).deviation.ObservePrefill(tokens, took, s.Speed())
+	}
+}
+
+// applyServiceReports takes over what a peer measured. It returns the services whose
+// report is not valid. The caller holds t.mu.
+func (t *loadTable) applyServiceReports(peer string, reports []ServiceReport) (invalid []string) {
+	for _, r := range reports {
+		if !t.service(r.Service).speed.SetPeer(peer, r.Speed) {
+			invalid = append(invalid, r.Service)
+		}
+	}
+	return invalid
+}
+
+// serviceReports returns what this gateway measured, for its peers.
+func (t *loadTable) serviceReports(work func(service string) Work) []ServiceReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []ServiceReport
+	for name, s := range t.services {
+		out = append(out, ServiceReport{Service: name, Speed: s.speed.Own(), Work: work(name)})
+	}
+	return out
+}
+
+// minPrefillTime returns the shortest time from the placement of a request to its
+// first event at the client.
+func minPrefillTime(c *Call, speed profile.Speed) time.Duration {
+	return speed.PrefillTime(float64(c.Model.PromptTokens)) + speed.FirstEventDelay + clientLatency
+}
+
+// outputTime returns the time that an output takes after its first event.
+func outputTime(tokens float64, service *routing.Service, speed profile.Speed) time.Duration {
+	return time.Duration(tokens / speed.TokenRate(service.Engine.TokensPerEvent) * float64(time.Second))
+}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -71,7 +71,8 @@
 		}
 	}
 	b = appendNotices(b, m.state.CrashNotices)
-	return appendQueueHead(b, m.state.QueueHead, now)
+	b = appendQueueHead(b, m.state.QueueHead, now)
+	return appendServices(b, m.state.Services)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -135,8 +136,8 @@
 	headLate
 )
 
-// appendQueueHead appends the queue head, which is the last part of a message
-// because processes of an earlier release do not read it.
+// appendQueueHead appends the queue head. It comes after all fields that processes
+// of an earlier release read.
 func appendQueueHead(b []byte, h *waitqueue.Head, now time.Time) []byte {
 	if h == nil {
 		return append(b, noHead)
@@ -206,6 +207,7 @@
 	}
 	m.state.CrashNotices = r.notices()
 	m.state.QueueHead = r.queueHead(now)
+	m.state.Services = r.services()
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/policy/profile"
 	"github.com/fescueslip/fescueslip/internal/policy/waitqueue"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
@@ -25,6 +26,15 @@
 			{Fingerprint: quarantine.Fingerprint{1, 2, 3}, Process: quarantine.Process{Upstream: "i-1", Incarnation: 1700000000000}},
 			{Fingerprint: quarantine.Fingerprint{4, 5, 6}, Completed: true},
 		},
+		Services: []gateway.ServiceReport{{
+			Service: "mind",
+			Speed: profile.Measurements{
+				EventInterval:   profile.Average{LogMean: -3, Samples: 20},
+				FirstEventDelay: profile.Average{LogMean: -4.5, Samples: 3},
+				Prefill:         profile.Line{Samples: 7, MeanX: 3000, MeanY: 0.125, VarX: 250000, Cov: 8},
+			},
+			Work: gateway.Work{Requests: 44, PromptTokens: 3200, OutputTokenSquares: 3e6},
+		}},
 	}}
 }
 
@@ -42,19 +52,21 @@
 	}
 }
 
-// Guards against rejecting messages of the release before crash notices existed.
-// Those messages end where the notices begin.
+// Guards against rejecting messages of earlier releases, which end where the crash
+// notices, the queue head or the service reports begin.
 func TestMessageOfEarlierRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	want := sampleMessage(now)
-	want.state.CrashNotices, want.state.QueueHead = nil, nil
+	want.state.CrashNotices, want.state.QueueHead, want.state.Services = nil, nil, nil
 	data := encode(want, now)
-	got, err := decode(data[:len(data)-2], now) // without the number of notices and the queue head
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !reflect.DeepEqual(got, want) {
-		t.Errorf("got %+v, want %+v", got, want)
+	for missing := range 4 {
+		got, err := decode(data[:len(data)-missing], now) // each of these parts takes one byte if empty
+		if err != nil {
+			t.Fatalf("without the last %d parts: %v", missing, err)
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("without the last %d parts: got %+v, want %+v", missing, got, want)
+		}
 	}
 }
 
--- a/internal/policy/forecast/forecast.go
+++ b/internal/policy/forecast/forecast.go
@@ -11,13 +11,25 @@
 
 import "math"
 
+// CurvePoints is the number of points of a Curve.
+const CurvePoints = 18
+
 const (
-	// CurvePoints is the number of points of a Curve.
-	CurvePoints = 18
-	// StepSeconds is the time between two points, in seconds.
-	StepSeconds = 0.25
+	// horizonOutputs is the time that a Curve covers, as a multiple of the time that
+	// a typical output takes. The requests that run now have ended by then.
+	horizonOutputs = 1.35
+	// minStepSeconds avoids curves that cover less than the delay of the messages
+	// that they are made of, in seconds.
+	minStepSeconds = 0.02
 )
 
+// StepSeconds returns the time between two points of the curves of an engine whose
+// typical output takes the given time, both in seconds. Only curves of equal steps
+// can be added.
+func StepSeconds(outputSeconds float64) float64 {
+	return max(minStepSeconds, outputSeconds*horizonOutputs/CurvePoints)
+}
+
 // Request describes a request that runs on an engine or is about to start
 // there.
 type Request struct {
@@ -55,12 +67,12 @@
 }
 
 // Add adds the expected memory of one request that generates rate tokens per
-// second.
-func (c *Curve) Add(r Request, rate float64) {
+// second. step is the time between two points of the curve, in seconds.
+func (c *Curve) Add(r Request, rate, step float64) {
 	generated := max(0, r.Age) * rate
 	survivalNow := survival(generated, r)
 	for i := range c {
-		offset := float64(i) * StepSeconds
+		offset := float64(i) * step
 		output := max(0, r.Age+offset) * rate
 		if r.MaxOutput > 0 && output > r.MaxOutput {
 			break
--- a/internal/policy/forecast/forecast_test.go
+++ b/internal/policy/forecast/forecast_test.go
@@ -10,16 +10,16 @@
 // that requests really need: at each point, the mean of many random outputs
 // must be within a tenth of the initial memory of the curve.
 func TestCurveMatchesDraws(t *testing.T) {
-	const rate, draws = 1000.0, 4000
+	const rate, step, draws = 1000.0, 0.25, 4000
 	rng := rand.New(rand.NewPCG(1, 2))
 	r := Request{Prompt: 5000, MedianOutput: 3000}
 	var want Curve
-	want.Add(r, rate)
+	want.Add(r, rate, step)
 	var sum Curve
 	for range draws {
 		output := r.MedianOutput * math.Exp(logLengthStdDev*rng.NormFloat64())
 		for i := range sum {
-			generated := float64(i) * StepSeconds * rate
+			generated := float64(i) * step * rate
 			if generated <= output {
 				sum[i] += (r.Prompt + generated) / draws
 			}
@@ -37,8 +37,8 @@
 // has not begun still grows.
 func TestCurveDependsOnAge(t *testing.T) {
 	var young, old Curve
-	young.Add(Request{Prompt: 4000, MedianOutput: 2000, Age: -0.5}, 1000)
-	old.Add(Request{Prompt: 4000, MedianOutput: 2000, Age: 4}, 1000)
+	young.Add(Request{Prompt: 4000, MedianOutput: 2000, Age: -0.5}, 1000, 0.25)
+	old.Add(Request{Prompt: 4000, MedianOutput: 2000, Age: 4}, 1000, 0.25)
 	if young.Peak() <= 4000 {
 		t.Errorf("a request that has not begun peaks at %.0f tokens, want more than its prompt of 4000", young.Peak())
 	}
@@ -69,11 +69,11 @@
 	var curves [64]Curve
 	for i := range curves {
 		for j := range 12 {
-			curves[i].Add(Request{Prompt: 5000, MedianOutput: 3000, Age: float64(j) / 4}, 1000)
+			curves[i].Add(Request{Prompt: 5000, MedianOutput: 3000, Age: float64(j) / 4}, 1000, 0.25)
 		}
 	}
 	var own Curve
-	own.Add(Request{Prompt: 5000, MedianOutput: 3000}, 1000)
+	own.Add(Request{Prompt: 5000, MedianOutput: 3000}, 1000, 0.25)
 	b.ReportAllocs()
 	best := 0.0
 	for b.Loop() {
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -103,11 +103,12 @@
 }
 
 const (
-	// forecastErrorMargin scales the margin for errors of the memory forecast.
-	// The margin grows with the square root of the mean size of a request
-	// relative to the memory, because the errors of few large requests cancel
-	// out less than those of many small ones.
-	forecastErrorMargin = 0.6
+	// outputDeviation is the standard deviation of output lengths around their
+	// prediction, as a fraction of the mean output.
+	outputDeviation = 0.4
+	// marginDeviations is the margin for errors of the memory forecast, in standard
+	// deviations of the memory that all requests of an engine need together.
+	marginDeviations = 3.4
 	// lateMargin is the fraction that late requests leave free for requests
 	// that can meet their target and arrive soon.
 	lateMargin = 0.10
@@ -115,10 +116,15 @@
 	minFill = 0.5
 )
 
-// NewFillLimits returns the limits of an engine with memory for the given
-// number of tokens, for requests that need meanTokens each.
-func NewFillLimits(meanTokens, memory float64) FillLimits {
-	onTime := max(minFill, 1-forecastErrorMargin*math.Sqrt(min(1, meanTokens/memory)))
+// NewFillLimits returns the limits of an engine with memory for the given number of
+// tokens, for requests that need meanTokens each, of which meanOutput are output.
+//
+// Prompts are known exactly, so only the outputs make the forecast wrong. The errors
+// of n requests add up to the square root of n times that of one.
+func NewFillLimits(meanTokens, meanOutput, memory float64) FillLimits {
+	requests := memory / max(1, meanTokens)
+	margin := marginDeviations * outputDeviation * meanOutput * math.Sqrt(requests) / memory
+	onTime := max(minFill, 1-margin)
 	return FillLimits{OnTime: onTime, Late: onTime - lateMargin}
 }
 
--- a/internal/policy/waitqueue/waitqueue_test.go
+++ b/internal/policy/waitqueue/waitqueue_test.go
@@ -39,7 +39,7 @@
 // TestFillLimits guards against late requests that take the memory needed by
 // requests that can meet their target.
 func TestFillLimits(t *testing.T) {
-	f := NewFillLimits(8000, 100_000)
+	f := NewFillLimits(8000, 4000, 100_000)
 	inTime, late := &Request{Slack: ms}, &Request{Slack: -ms, TimeToAbandonment: 2 * time.Second}
 	if f.For(late, true) != 0 {
 		t.Error("a late request may take memory while a request that can meet its target is waiting")
@@ -53,8 +53,17 @@
 // small engines: the fewer requests share the memory, the less the errors of
 // the forecast cancel out.
 func TestFillLimitsOfSmallEngines(t *testing.T) {
-	large, small := NewFillLimits(8000, 100_000).OnTime, NewFillLimits(8000, 60_000).OnTime
+	large, small := NewFillLimits(8000, 4000, 100_000).OnTime, NewFillLimits(8000, 4000, 60_000).OnTime
 	if small >= large || large < 0.8 || small < 0.75 {
 		t.Errorf("large engines may be filled to %.2f and small ones to %.2f, want at least 0.80 and 0.75 and a lower limit for small ones", large, small)
 	}
 }
+
+// TestFillLimitsOfShortOutputs guards against memory that stays empty although the
+// requests that would use it have known sizes: only outputs are uncertain.
+func TestFillLimitsOfShortOutputs(t *testing.T) {
+	long, short := NewFillLimits(4000, 2000, 26_000).OnTime, NewFillLimits(4000, 800, 26_000).OnTime
+	if short <= long || short < 0.85 {
+		t.Errorf("engines may be filled to %.2f with short outputs and %.2f with long ones, want at least 0.85 and more than with long ones", short, long)
+	}
+}
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -131,7 +131,7 @@
 	gainOfOneEngine = 0.5
 	// maxBatchShare limits the engines that change at once, as a fraction of
 	// all engines.
-	maxBatchShare = 1.0 / 6
+	maxBatchShare = 1.0 / 4
 )
 
 // balanceOptions returns the options of the balancer for a service with this
@@ -246,6 +246,8 @@
 		from, role = decode, fleet.RolePrefill
 	}
 	m.nextOrderAt[service] = now + roleChangeTime + roleChangeMargin/2
+	m.opts.Logger.Info("role change decided", "service", service, "role", role.String(), "prefill_engines", len(prefill), "decode_engines", len(decode),
+		"requests", d.Requests, "prefill_ms", int(d.PrefillSeconds*1000), "decode_ms", int(d.DecodeSeconds*1000))
 	chosen := leastLoaded(from, min(batchSize(d, len(prefill), len(decode)), len(from)-1))
 	if err := m.publishPlan(ctx, chosen, role, MaxRoleChangeTime(roleChangeTime)); err != nil {
 		return errors.Wrapf(err, "publish the role change plan of service %s", service)
