Tell new prompts of gateways by a counter

Cause: a gateway that finishes one prompt and sends another between two reports shows the same number of pending tokens, so peers that drain the backlog took a steady flow for none. Change: reports carry the sum of all prompt tokens sent to an engine.

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -24,6 +24,9 @@
 	// PrefillTokens is the number of prompt tokens that this process has sent
 	// for prefill and that are not processed yet.
 	PrefillTokens atomic.Int64
+	// PrefillTokensSent counts all prompt tokens that this process has sent for
+	// prefill.
+	PrefillTokensSent atomic.Int64
 	// removed is set when the instance is no longer on the list.
 	removed atomic.Bool
 
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -28,6 +28,10 @@
 	// PrefillTokens is the number of prompt tokens that were sent for prefill and
 	// not processed yet.
 	PrefillTokens int64
+	// PrefillTokensSent counts all prompt tokens that were ever sent for prefill. Its
+	// growth shows new prompts even if others were processed at the same time. It is
+	// 0 if unknown.
+	PrefillTokensSent int64
 	// RoleChangeRemaining is how much longer the engine accepts no new work because
 	// its role changes. It is 0 if the role does not change.
 	RoleChangeRemaining time.Duration
@@ -215,7 +219,7 @@
 			e.changedAt = now
 		}
 		e.remote[peer] = load
-		t.reportPrefill(e, peer, load.PrefillTokens, now)
+		t.reportPrefill(e, peer, prefillReport{pending: load.PrefillTokens, sent: load.PrefillTokensSent}, now)
 		e.outdated = true
 	}
 	if s.Partial {
@@ -224,7 +228,7 @@
 	for k, e := range t.engines {
 		if _, ok := e.remote[peer]; ok && !reported[k] {
 			delete(e.remote, peer)
-			t.reportPrefill(e, peer, 0, now)
+			t.reportPrefill(e, peer, prefillReport{}, now)
 			e.outdated, e.changedAt = true, now
 		}
 	}
@@ -258,7 +262,7 @@
 		for _, e := range t.engines {
 			if _, ok := e.remote[name]; ok {
 				delete(e.remote, name)
-				t.reportPrefill(e, name, 0, now)
+				t.reportPrefill(e, name, prefillReport{}, now)
 				e.outdated = true
 			}
 		}
@@ -390,7 +394,13 @@
 // t.mu.
 func (t *loadTable) localLoad(u *fleet.Upstream, now time.Time) EngineLoad {
 	k := engineKeyOf(u)
-	load := EngineLoad{ID: k.id, Incarnation: k.incarnation, PrefillTokens: u.PrefillTokens.Load(), RoleChangeRemaining: u.PauseRemaining(now)}
+	load := EngineLoad{
+		ID:                  k.id,
+		Incarnation:         k.incarnation,
+		PrefillTokens:       u.PrefillTokens.Load(),
+		PrefillTokensSent:   u.PrefillTokensSent.Load(),
+		RoleChangeRemaining: u.PauseRemaining(now),
+	}
 	if e, ok := t.engines[k]; ok {
 		for r := range e.local {
 			load.Requests = append(load.Requests, r.load)
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -278,6 +278,7 @@
 		promptTokens:  int64(w.call.Model.PromptTokens),
 	}
 	placed.prefillEngine.PrefillTokens.Add(placed.promptTokens)
+	placed.prefillEngine.PrefillTokensSent.Add(placed.promptTokens)
 	s.load.markChanged(placed.prefillEngine)
 	go s.requestReservation(ctx, w, u, placed, reservationLease(w.call.Service, prefill))
 }
--- a/internal/gateway/prefillbacklog.go
+++ b/internal/gateway/prefillbacklog.go
@@ -15,9 +15,25 @@
 	// tokens is the estimate at the time at.
 	tokens float64
 	at     time.Time
-	// reported holds the last report of each peer, in tokens.
-	reported map[string]int64
-	total    int64
+	// reported holds the last report of each peer that has pending prompts, and
+	// pending is the sum of theirs, in tokens.
+	reported map[string]prefillReport
+	pending  int64
+}
+
+// prefillReport is what a gateway says of its prompts at one engine, in tokens.
+type prefillReport struct {
+	// pending are the tokens that are not known to be processed, and sent those of
+	// all prompts since the gateway started. sent is 0 if unknown.
+	pending, sent int64
+}
+
+// addedSince returns the tokens that were sent after the earlier report.
+func (r prefillReport) addedSince(earlier prefillReport) int64 {
+	if r.sent > 0 && earlier.sent > 0 && r.sent >= earlier.sent {
+		return r.sent - earlier.sent
+	}
+	return max(0, r.pending-earlier.pending)
 }
 
 // drain subtracts what the engine has processed since the last call.
@@ -26,21 +42,21 @@
 	b.at = now
 }
 
-// report replaces the number of tokens that a peer has at the engine. Prompts that
-// were added since the last report are new; if there are fewer, some are done.
-func (b *prefillBacklog) report(peer string, tokens int64, rate float64, now time.Time) {
+// report replaces the last report of a peer. The estimate grows by the prompts that
+// the peer has sent since, and is never above what all peers say is pending.
+func (b *prefillBacklog) report(peer string, r prefillReport, rate float64, now time.Time) {
 	b.drain(rate, now)
-	added := tokens - b.reported[peer]
-	b.total += added
-	if tokens == 0 {
+	last := b.reported[peer]
+	b.pending += r.pending - last.pending
+	b.tokens = min(b.tokens+float64(r.addedSince(last)), float64(b.pending))
+	if r.pending == 0 {
 		delete(b.reported, peer)
-	} else {
-		if b.reported == nil {
-			b.reported = make(map[string]int64)
-		}
-		b.reported[peer] = tokens
+		return
+	}
+	if b.reported == nil {
+		b.reported = make(map[string]prefillReport)
 	}
-	b.tokens = min(b.tokens+float64(max(0, added)), float64(b.total))
+	b.reported[peer] = r
 }
 
 // prefillState is the backlog of an engine from other gateways and its speed.
@@ -60,12 +76,12 @@
 	return prefillState{peerTokens: int64(e.backlog.tokens), speed: speed}
 }
 
-// reportPrefill takes over the number of prompt tokens that a peer has at an engine.
-// The caller holds t.mu.
-func (t *loadTable) reportPrefill(e *aggregateLoad, peer string, tokens int64, now time.Time) {
+// reportPrefill takes over the report of a peer on its prompts at an engine. The
+// caller holds t.mu.
+func (t *loadTable) reportPrefill(e *aggregateLoad, peer string, r prefillReport, now time.Time) {
 	rate := 0.0
 	if e.service != "" {
 		rate = e.deviation.PrefillSpeed(t.service(e.service).speed.Speed()).PrefillRate
 	}
-	e.backlog.report(peer, tokens, rate, now)
+	e.backlog.report(peer, r, rate, now)
 }
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -72,7 +72,8 @@
 	}
 	b = appendNotices(b, m.state.CrashNotices)
 	b = appendQueueHead(b, m.state.QueueHead, now)
-	return appendServices(b, m.state.Services)
+	b = appendServices(b, m.state.Services)
+	return appendPrefillCounts(b, m.state.Engines)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -208,6 +209,7 @@
 	m.state.CrashNotices = r.notices()
 	m.state.QueueHead = r.queueHead(now)
 	m.state.Services = r.services()
+	r.prefillCounts(m.state.Engines)
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -16,7 +16,7 @@
 		WaitingOnTime: 3, WaitingLate: 1,
 		QueueHead: &waitqueue.Head{Service: "mind", Priority: 1, Due: now.Add(340 * time.Millisecond)},
 		Engines: []gateway.EngineLoad{{
-			ID: "i-1", Incarnation: 1700000000000, PrefillTokens: 1600, RoleChangeRemaining: 2 * time.Second,
+			ID: "i-1", Incarnation: 1700000000000, PrefillTokens: 1600, PrefillTokensSent: 160000, RoleChangeRemaining: 2 * time.Second,
 			Requests: []gateway.RequestLoad{
 				{PromptTokens: 4800, MedianOutputTokens: 3200, MaxOutputTokens: 7680, OutputStart: now.Add(-time.Second)},
 				{PromptTokens: 160, MedianOutputTokens: 320, MaxOutputTokens: 640, OutputStart: now.Add(200 * time.Millisecond)},
@@ -58,8 +58,9 @@
 	now := time.Unix(1000, 0)
 	want := sampleMessage(now)
 	want.state.CrashNotices, want.state.QueueHead, want.state.Services = nil, nil, nil
+	want.state.Engines[0].PrefillTokensSent = 0
 	data := encode(want, now)
-	for missing := range 4 {
+	for missing := range 5 {
 		got, err := decode(data[:len(data)-missing], now) // each of these parts takes one byte if empty
 		if err != nil {
 			t.Fatalf("without the last %d parts: %v", missing, err)
--- a/internal/gossip/services.go
+++ b/internal/gossip/services.go
@@ -83,3 +83,23 @@
 	r.rest = r.rest[floatBytes:]
 	return float64(v)
 }
+
+// appendPrefillCounts appends the numbers of prompt tokens that were sent to each
+// engine of the message, in the order of the engines. An empty list has no bytes.
+func appendPrefillCounts(b []byte, engines []gateway.EngineLoad) []byte {
+	for _, e := range engines {
+		b = binary.AppendUvarint(b, uint64(max(0, e.PrefillTokensSent)/tokenUnit))
+	}
+	return b
+}
+
+// prefillCounts reads the numbers of prompt tokens into the engines. A message of an
+// earlier release has none.
+func (r *reader) prefillCounts(engines []gateway.EngineLoad) {
+	if r.err != nil || len(r.rest) == 0 {
+		return
+	}
+	for i := range engines {
+		engines[i].PrefillTokensSent = int64(r.tokens())
+	}
+}
