Read the store less often where its bounds allow

Change: a watch blocks for as long as the platform's bound of silence allows, and changes in quick succession are read together within a fifth of the time in which they must be in force. Both are settings, filled in by the template.

Bound the head of a response, and an event of a stream

Cause: an upstream that sends a head without end made http.ReadResponse read it into memory until the timeout of the request: 376 MB in 2 s on a real socket. Bytes without the end of an event were kept the same way. A response that names no request was taken as the answer to the next request on a connection in use again. Change: 64 KiB for a head, 256 KiB for an event; a response without a name is accepted on a new connection only. Result: TestEndlessHead and TestResponseWithoutEcho failed before and pass now.

--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -27,15 +27,21 @@
 		Apply:              follower.apply,
 		OnConnectionChange: follower.connectionChanged,
 		FetchFromPeer:      snapshotFetcher{pool: p.Pool, ownAddress: p.Settings.Listen.Control, seeds: p.Settings.Seeds}.fetchNewer,
-		MinInterval:        minStoreReadInterval,
+		MinInterval:        max(minStoreReadInterval, p.Settings.Store.ChangeDeadline/readsPerChangeDeadline),
+		MaxSilence:         p.Settings.Store.MaxSilence,
 	})
 	serveHTTP(p.ControlListener, snapshotHandler(m.LastView), p.Logger, lc)
 	lc.Append(fx.StartHook(func() { b.run("store", m.Run) }))
 }
 
-// minStoreReadInterval is the minimum time between two reads of the store; it
-// limits the calls while the store changes often.
-const minStoreReadInterval = 200 * time.Millisecond
+const (
+	// minStoreReadInterval is the least interval between two reads of the store; it
+	// limits the calls while the store changes often.
+	minStoreReadInterval = 200 * time.Millisecond
+	// readsPerChangeDeadline is the number of reads, while the store changes often,
+	// within the time in which a change must be in force.
+	readsPerChangeDeadline = 5
+)
 
 // storeFollower applies each new view of the store to the gateway's state.
 type storeFollower struct {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,7 +30,8 @@
 	Body   []byte
 	// EchoHeader names the response header in which the upstream repeats EchoID. A
 	// response with a different value belongs to an earlier request and is skipped.
-	// If EchoHeader is empty, responses are not checked.
+	// One without a value is an error, unless the connection is new. If EchoHeader is
+	// empty, responses are not checked.
 	EchoHeader string
 	EchoID     string
 	// MaxIdle limits how long a reused connection may have been idle. 0 forces a new
@@ -172,23 +173,30 @@
 	request := &http.Request{Method: r.Method}
 	skipped, interim := 0, 0
 	for {
+		c.source.beginHead()
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
+		c.source.endHead()
 		if resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimResponses {
 				return nil, errors.New("too many interim responses")
 			}
 			continue
 		}
-		echoed := ""
-		if r.EchoHeader != "" {
-			echoed = resp.Header.Get(r.EchoHeader)
-		}
-		if echoed == "" || echoed == r.EchoID {
+		echoed := resp.Header.Get(r.EchoHeader)
+		if r.EchoHeader == "" || echoed == r.EchoID {
 			return resp, nil
 		}
+		if echoed == "" {
+			// On a new connection, it can only answer this request. On another one, it
+			// may be a second copy of an earlier answer.
+			if c.requestCount == 1 {
+				return resp, nil
+			}
+			return nil, errors.Wrap(errUnexpectedResponses, "response names no request")
+		}
 		if skipped++; skipped > maxSkippedResponses {
 			return nil, errUnexpectedResponses
 		}
@@ -272,8 +280,10 @@
 // conn is a connection to an upstream. It carries at most one request at a time.
 type conn struct {
 	net.Conn
-	pool         *Pool
-	address      string
+	pool    *Pool
+	address string
+	// source is what reader reads from.
+	source       *headLimiter
 	reader       *bufio.Reader
 	requestCount int
 	// idleSince and idleUntil are set while the connection is in the pool.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -214,3 +214,101 @@
 		t.Errorf("%d idle and %d open connections after the idle timeout; want none", len(p.idle), len(p.open))
 	}
 }
+
+// startEndlessUpstream starts a server that answers each request with the given start
+// and then repeats the rest until the caller closes the connection.
+func startEndlessUpstream(t *testing.T, start, rest string) (address string, sent *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	sent = new(atomic.Int64)
+	chunk := strings.Repeat(rest, 1+(64<<10)/len(rest))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				n, err := io.WriteString(c, start)
+				for err == nil {
+					sent.Add(int64(n))
+					n, err = io.WriteString(c, chunk)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), sent
+}
+
+// TestEndlessHead guards against an upstream that takes the memory of the process with
+// a head that never ends: one line, many lines, many interim responses, bytes that are
+// no head, or the trailer of a chunked body. The connection must be closed after a
+// bounded number of bytes, long before the timeout of the request.
+func TestEndlessHead(t *testing.T) {
+	const maxSent = 8 << 20 // what the sockets hold is sent, but not read
+	for name, upstream := range map[string]struct{ start, rest string }{
+		"one line":          {"HTTP/1.1 200 OK\r\nX: ", "a"},
+		"many lines":        {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"},
+		"no head":           {"", "x"},
+		"no head, lines":    {"", "x\r\n"},
+		"trailer":           {"HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"},
+		"chunk size":        {"HTTP/1.1 200 OK\r\nEcho: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := startEndlessUpstream(t, upstream.start, upstream.rest)
+			began := time.Now()
+			if body, _, err := doRequest(NewPool(nil), newRequest(address, "1")); err == nil {
+				t.Errorf("answer %q, want an error", body)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("the exchange ended after %v, want an end long before its timeout of 2 s", took)
+			}
+			if n := sent.Load(); n > maxSent {
+				t.Errorf("the upstream could send %d bytes", n)
+			}
+		})
+	}
+}
+
+// TestLongHead guards against a limit that is too low for sound answers.
+func TestLongHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nEcho: 1\r\nContent-Length: 2\r\n" + strings.Repeat("X-Long: "+strings.Repeat("a", 990)+"\r\n", 30) + "\r\n"
+	address, _ := startUpstream(t, head+"ok", response("2", "b"))
+	p := NewPool(nil)
+	for id, want := range map[string]string{"1": "ok"} {
+		if body, _, err := doRequest(p, newRequest(address, id)); err != nil || body != want {
+			t.Errorf("request %s: body %q, error %v; want %q", id, body, err, want)
+		}
+	}
+	if body, resp, err := doRequest(p, newRequest(address, "2")); err != nil || body != "b" || !resp.Reused {
+		t.Errorf("second request: body %q, error %v; want b on the same connection", body, err)
+	}
+}
+
+// TestResponseWithoutEcho guards against a late second copy of an answer, without the
+// id of its request, that the next request on the connection takes for its own. On a
+// new connection no other request can be answered.
+func TestResponseWithoutEcho(t *testing.T) {
+	unnamed := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	address, _ := startUpstream(t, response("1", "a"), unnamed)
+	p := NewPool(nil)
+	if body, _, err := doRequest(p, newRequest(address, "1")); err != nil || body != "a" {
+		t.Fatalf("first request: body %q, error %v", body, err)
+	}
+	if body, _, err := doRequest(p, newRequest(address, "2")); err == nil {
+		t.Errorf("second request: took %q, which may belong to another request", body)
+	}
+	fresh, _ := startUpstream(t, unnamed)
+	if body, _, err := doRequest(p, newRequest(fresh, "3")); err != nil || body != "x" {
+		t.Errorf("request on a new connection: body %q, error %v; want x", body, err)
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -86,7 +86,8 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.opened.Add(1)
-	return &conn{Conn: nc, pool: p, address: r.Address, reader: bufio.NewReaderSize(nc, readBufferSize)}, nil
+	source := &headLimiter{source: nc}
+	return &conn{Conn: nc, pool: p, address: r.Address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
 // reuseIdle returns the most recently used idle connection, because the upstream is
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -336,6 +336,12 @@
 // relayBufferSize is the size of the read buffer of a relayed stream, in bytes.
 const relayBufferSize = 4 << 10
 
+// maxEventBytes limits the size of one event. An upstream that sends bytes without
+// the end of an event would otherwise take memory until the deadline.
+const maxEventBytes = 256 << 10
+
+var errEventTooLong = errors.New("event of the stream exceeds the limit")
+
 var eventEnd = []byte("\n\n")
 
 // copy relays the stream until it ends. It returns nil if the response was complete.
@@ -353,6 +359,9 @@
 		if err != nil {
 			return errors.Wrap(err, "read stream")
 		}
+		if len(s.pending) > maxEventBytes {
+			return errors.Wrapf(errEventTooLong, "%d bytes", len(s.pending))
+		}
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -72,9 +72,8 @@
 }
 
 const (
-	// watchWait is how long the store may block a watch. A silent connection is
-	// detected after watchWait + callTimeout.
-	watchWait = 1500 * time.Millisecond
+	// minWatchWait is the least time for which the store may block a watch.
+	minWatchWait = 1500 * time.Millisecond
 	// callTimeout limits a call, in addition to the time that the store may block
 	// it.
 	callTimeout = 700 * time.Millisecond
@@ -113,6 +112,15 @@
 	// MinInterval is the minimum time between two watches. Changes within that time
 	// are read together.
 	MinInterval time.Duration
+	// MaxSilence is the time after which a connection that carries nothing has been
+	// replaced. The store may block a watch for most of it.
+	MaxSilence time.Duration
+}
+
+// watchWait returns how long the store may block a watch. A watch on a connection
+// that became silent fails callTimeout later, and the next one has the same time.
+func (o Options) watchWait() time.Duration {
+	return max(minWatchWait, o.MaxSilence-2*callTimeout)
 }
 
 // Mirror keeps the copy of a store.
@@ -301,7 +309,7 @@
 }
 
 func (m *Mirror) watch(ctx context.Context) error {
-	limit := watchWait
+	limit := m.options.watchWait()
 	// A shorter wait lets unconfirmed entries be dropped on time even if nothing
 	// changes.
 	if len(m.unconfirmedUntil) > 0 {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -18,6 +18,7 @@
 	Region        string `yaml:"region"`
 	// StoreAddress is the host:port of the metadata store.
 	StoreAddress string        `yaml:"store_address" validate:"required"`
+	Store        GatewayStore  `yaml:"store"`
 	Listen       GatewayListen `yaml:"listen"`
 	// Seeds is a comma-separated list of control addresses of other gateways. A gateway
 	// that starts while the metadata store is unavailable asks them for their state.
@@ -30,6 +31,17 @@
 	Log        Log             `yaml:"log"`
 }
 
+// GatewayStore configures how a gateway follows the metadata store.
+type GatewayStore struct {
+	// MaxSilence is the time after which a connection to the store that carries
+	// nothing has been replaced.
+	MaxSilence time.Duration `yaml:"max_silence" validate:"min=1s,max=1m"`
+	// ChangeDeadline is the time within which a change in the store must be in force.
+	// Changes that follow each other are read together, at most a fifth of this time
+	// later.
+	ChangeDeadline time.Duration `yaml:"change_deadline" validate:"min=500ms,max=1m"`
+}
+
 // GatewayListen holds the addresses that a gateway listens on, as IP:port.
 type GatewayListen struct {
 	// Client is the address for requests of clients.
@@ -76,6 +88,7 @@
 // DefaultGateway returns the values of settings that the file does not contain.
 func DefaultGateway() Gateway {
 	return Gateway{
+		Store:      GatewayStore{MaxSilence: 3 * time.Second, ChangeDeadline: 2 * time.Second},
 		Memory:     GatewayMemory{Limit: 128 * Megabyte},
 		Retries:    GatewayRetries{Ratio: 0.2, Window: 10 * time.Second, Slack: 20},
 		Leadership: Leadership{Lease: 3 * time.Second},
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -26,6 +26,8 @@
 		gatewaySettings + "retries: {ratio: 2}\n":                           "retries.ratio",
 		gatewaySettings + "speed: 9\n":                                      "speed",
 		gatewaySettings + "memory: {limit: 1MB}\n":                          "memory.limit",
+		gatewaySettings + "store: {max_silence: 5}\n":                       "store.max_silence",
+		gatewaySettings + "store: {change_deadline: 1ms}\n":                 "store.change_deadline",
 		strings.Replace(gatewaySettings, "listen:", "listen: 7\nother:", 1): "listen",
 	} {
 		if _, err := ParseGateway("s", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
@@ -48,13 +50,13 @@
 		"{{listen.ready-addr}}", "10.1.0.35:8140", "{{listen.control}}", "10.1.0.35:8146", "{{seeds}}", "10.1.0.35:8146,10.2.0.28:8146", "{{ip}}", "10.1.0.35",
 		"{{internal-ports.0}}", "7660", "{{internal-ports.1}}", "7675", "{{limits.memory-mb}}", "134",
 		"{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.budget-window-s}}", "10", "{{bounds.budget-slack}}", "54",
-		"{{bounds.lease-ms}}", "3000", "{{bounds.grace-s}}", "8",
+		"{{bounds.lease-ms}}", "3000", "{{bounds.contact-ms}}", "5000", "{{bounds.config-deadline-ms}}", "4000", "{{bounds.grace-s}}", "8",
 	)
 	s, err := ParseGateway("template", []byte(values.Replace(string(text))))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Retries.Slack != 54 || s.Shutdown.Grace.Seconds() != 8 || s.Memory.Limit != 134*Megabyte {
+	if s.Retries.Slack != 54 || s.Shutdown.Grace.Seconds() != 8 || s.Memory.Limit != 134*Megabyte || s.Store.MaxSilence.Seconds() != 5 || s.Store.ChangeDeadline.Seconds() != 4 {
 		t.Errorf("settings %+v", s)
 	}
 }
