Do not let returned requests precede those on time

Cause: a request that was refused once was served before all others in its last 1.2 s. Change: it still may fill the memory as one on time, but follows those on time.

--- a/internal/policy/waitqueue/admission_delay.go
+++ b/internal/policy/waitqueue/admission_delay.go
@@ -21,10 +21,10 @@
 // NewHead returns the head of a queue whose first request is r.
 func NewHead(service string, r *Request, now time.Time) Head {
 	key := r.lateKey()
-	if r.urgent() {
-		key = r.urgentKey()
+	if r.OnTime() {
+		key = r.onTimeKey()
 	}
-	return Head{Service: service, Late: !r.urgent(), Priority: r.Priority, Due: now.Add(time.Duration(key * float64(time.Second)))}
+	return Head{Service: service, Late: !r.OnTime(), Priority: r.Priority, Due: now.Add(time.Duration(key * float64(time.Second)))}
 }
 
 // precedes reports whether the request of h is served before that of o.
--- a/internal/policy/waitqueue/waitqueue.go
+++ b/internal/policy/waitqueue/waitqueue.go
@@ -35,20 +35,22 @@
 func (r *Request) OnTime() bool { return r.Slack >= 0 }
 
 // lastChanceWindow is the time to abandonment below which a request that was
-// refused before is served as if it could still meet its target, because
-// another refusal would lose it.
+// refused before may fill the memory as if it could still meet its target, because
+// another refusal would lose it. It does not precede those that can meet theirs:
+// when more requests arrive than can be served, each of them would be refused,
+// return, and delay the next ones past their target.
 const lastChanceWindow = 1200 * time.Millisecond
 
-// urgent reports whether the request precedes the late ones.
-func (r *Request) urgent() bool {
-	return r.OnTime() || (r.PreviouslyRefused && r.TimeToAbandonment < lastChanceWindow)
+// lastChance reports whether another refusal would lose the request.
+func (r *Request) lastChance() bool {
+	return r.PreviouslyRefused && r.TimeToAbandonment < lastChanceWindow
 }
 
 // Compare orders requests for slices.SortFunc and similar functions; the
 // request that sorts first is served first.
 func Compare(a, b *Request) int {
-	if a.urgent() != b.urgent() {
-		if a.urgent() {
+	if a.OnTime() != b.OnTime() {
+		if a.OnTime() {
 			return -1
 		}
 		return 1
@@ -56,8 +58,8 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if a.urgent() {
-		return cmp.Compare(a.urgentKey(), b.urgentKey())
+	if a.OnTime() {
+		return cmp.Compare(a.onTimeKey(), b.onTimeKey())
 	}
 	return cmp.Compare(a.lateKey(), b.lateKey())
 }
@@ -68,13 +70,10 @@
 // target during a burst.
 const sizeWeight = 0.1
 
-// urgentKey orders urgent requests of equal priority, in seconds.
-func (r *Request) urgentKey() float64 {
-	left := r.Slack
-	if !r.OnTime() {
-		left = r.TimeToAbandonment
-	}
-	return left.Seconds() + sizeWeight*r.Tokens/1000
+// onTimeKey orders requests of equal priority that can meet their target, in
+// seconds.
+func (r *Request) onTimeKey() float64 {
+	return r.Slack.Seconds() + sizeWeight*r.Tokens/1000
 }
 
 // refusedBonus, in seconds, lets a late request that was refused before precede
@@ -133,7 +132,7 @@
 // target is waiting, here or at another gateway.
 func (f FillLimits) For(r *Request, contended bool) float64 {
 	switch {
-	case r.urgent():
+	case r.OnTime() || r.lastChance():
 		return f.OnTime
 	case contended:
 		return f.LateContended
