Show the learned speeds in the state dump, the log and the metrics

Operators could not see which estimate made an answer late. One line is logged when a figure of a service has changed by a quarter; the dump also has each engine's deviation.

--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -18,6 +18,8 @@
 	InFlight      int64            `json:"in_flight"`
 	Connections   int64            `json:"connections_opened"`
 	Upstreams     []upstreamStatus `json:"upstreams"`
+	// EngineSpeeds lists the estimated speeds of the engines of each model service.
+	EngineSpeeds []engineSpeedStatus `json:"engine_speeds"`
 	// Suspended lists the fingerprints of the requests that are refused because
 	// upstreams crashed while running them.
 	Suspended []quarantine.Fingerprint `json:"suspended"`
@@ -35,6 +37,35 @@
 	FailureShare  float64 `json:"failure_share"`
 	LatencyMs     float64 `json:"latency_ms"`
 	Avoid         bool    `json:"avoid"`
+	// StreamSlowdown and PrefillSlowdown say how much longer the engine takes than
+	// its service; 1 means no deviation.
+	StreamSlowdown  float64 `json:"stream_slowdown"`
+	PrefillSlowdown float64 `json:"prefill_slowdown"`
+}
+
+// engineSpeedStatus is the JSON form of the speed of a service's engines. Streams is
+// the number of completed streams that it rests on; 0 means that it is assumed.
+type engineSpeedStatus struct {
+	Service           string  `json:"service"`
+	Streams           float64 `json:"streams"`
+	EventIntervalMs   float64 `json:"event_interval_ms"`
+	FirstEventMs      float64 `json:"first_event_ms"`
+	PrefillTokensPerS float64 `json:"prefill_tokens_per_s"`
+	PrefillDelayMs    float64 `json:"prefill_delay_ms"`
+}
+
+// newEngineSpeeds converts the estimated speeds for the state dump.
+func newEngineSpeeds(speeds []gateway.ServiceSpeed) []engineSpeedStatus {
+	const msPerSecond = 1000
+	var out []engineSpeedStatus
+	for _, s := range speeds {
+		out = append(out, engineSpeedStatus{
+			Service: s.Service, Streams: s.Streams,
+			EventIntervalMs: s.EventInterval.Seconds() * msPerSecond, FirstEventMs: s.FirstEventDelay.Seconds() * msPerSecond,
+			PrefillTokensPerS: s.PrefillRate, PrefillDelayMs: s.PrefillDelay.Seconds() * msPerSecond,
+		})
+	}
+	return out
 }
 
 func newGatewayState(p GatewayProcess, t *topology, g *gateway.Gateway) gatewayState {
@@ -51,12 +82,15 @@
 	}
 	now := time.Now()
 	state.Suspended = g.Suspended(now)
+	state.EngineSpeeds = newEngineSpeeds(g.ServiceSpeeds())
 	for _, u := range snapshot.All() {
 		instance, health := u.Instance(), u.Health(now)
+		stream, prefill := g.EngineSlowdown(u)
 		state.Upstreams = append(state.Upstreams, upstreamStatus{
 			ID: instance.ID, Service: instance.Service, Address: instance.Address, Role: instance.Role.String(), Leaving: instance.Leaving,
 			InFlight: u.InFlight.Load(), PrefillTokens: u.PrefillTokens.Load(),
 			FailureShare: health.FailureShare, LatencyMs: health.LatencyMs, Avoid: health.Avoid,
+			StreamSlowdown: stream, PrefillSlowdown: prefill,
 		})
 	}
 	return state
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,12 +19,15 @@
 	duration  metric.Float64Histogram
 	firstByte metric.Float64Histogram
 	reserve   metric.Float64Histogram
+	// eventInterval and prefillRate are the estimated speeds of engines, by service.
+	eventInterval metric.Float64Gauge
+	prefillRate   metric.Float64Gauge
 }
 
 // NewMetrics registers the instruments of a gateway with the meter.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	out := &Metrics{}
-	var errs [5]error
+	var errs [7]error
 	out.requests, errs[0] = m.Int64Counter("fescueslip_gateway_requests",
 		metric.WithDescription("Requests that ended, by kind of route and status class."))
 	out.refusals, errs[1] = m.Int64Counter("fescueslip_gateway_refusals",
@@ -35,9 +38,23 @@
 		metric.WithDescription("Time from the request to the first byte of its answer."), metric.WithUnit("s"))
 	out.reserve, errs[4] = m.Float64Histogram("fescueslip_gateway_reserve_seconds",
 		metric.WithDescription("Time that a model request waited for a slot and memory."), metric.WithUnit("s"))
+	out.eventInterval, errs[5] = m.Float64Gauge("fescueslip_gateway_event_interval_seconds",
+		metric.WithDescription("Estimated time between two events of a stream, by service."), metric.WithUnit("s"))
+	out.prefillRate, errs[6] = m.Float64Gauge("fescueslip_gateway_prefill_tokens_per_second",
+		metric.WithDescription("Estimated prompt tokens that an engine processes per second, by service."))
 	return out, errors.Join(errs[:]...)
 }
 
+// speed records the estimated speed of a service's engines.
+func (m *Metrics) speed(s ServiceSpeed) {
+	if m == nil {
+		return
+	}
+	service := metric.WithAttributes(attribute.String("service", s.Service))
+	m.eventInterval.Record(context.Background(), s.EventInterval.Seconds(), service)
+	m.prefillRate.Record(context.Background(), s.PrefillRate, service)
+}
+
 // refused counts a request that was refused or failed, by error kind.
 func (m *Metrics) refused(kind fault.Kind) {
 	if m == nil {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -92,6 +92,9 @@
 	waiting []*waitingRequest
 	// sizes holds the mean size of the requests, by service.
 	sizes map[string]requestSize
+	// loggedSpeeds holds the speeds that were logged last, by service. Only run uses
+	// it.
+	loggedSpeeds map[string]ServiceSpeed
 }
 
 // requestSize is the memory that a request needs at its end, and the part of it that
@@ -101,7 +104,7 @@
 }
 
 func newScheduler(g *Gateway) *scheduler {
-	return &scheduler{gateway: g, load: newLoadTable(), wake: make(chan struct{}, 1), sizes: make(map[string]requestSize)}
+	return &scheduler{gateway: g, load: newLoadTable(), wake: make(chan struct{}, 1), sizes: make(map[string]requestSize), loggedSpeeds: make(map[string]ServiceSpeed)}
 }
 
 // wakeUp starts the next round without waiting for schedulerInterval.
@@ -129,6 +132,7 @@
 		case <-turn.C:
 		case now := <-housekeeping.C:
 			s.pruneLoad(now)
+			s.reportSpeeds()
 			s.gateway.settleCrashes(now)
 			s.gateway.Pool.CloseExpired(now)
 		}
--- a/internal/policy/profile/profile.go
+++ b/internal/policy/profile/profile.go
@@ -232,9 +232,13 @@
 // service; 1 means no deviation.
 func (e *Engine) StreamSlowdown() float64 { return math.Exp(e.stream.LogMean) }
 
+// PrefillSlowdown returns how much longer the engine takes for a prompt than its
+// service; 1 means no deviation.
+func (e *Engine) PrefillSlowdown() float64 { return math.Exp(e.prefill.LogMean) }
+
 // PrefillSpeed returns the speed of the engine in the prefill role.
 func (e *Engine) PrefillSpeed(of Speed) Speed {
-	slowdown := math.Exp(e.prefill.LogMean)
+	slowdown := e.PrefillSlowdown()
 	of.PrefillRate /= slowdown
 	of.PrefillDelay = time.Duration(float64(of.PrefillDelay) * slowdown)
 	return of
