--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -284,10 +284,8 @@
 	head := "HTTP/1.1 200 OK\r\nEcho: 1\r\nContent-Length: 2\r\n" + strings.Repeat("X-Long: "+strings.Repeat("a", 990)+"\r\n", 30) + "\r\n"
 	address, _ := startUpstream(t, head+"ok", response("2", "b"))
 	p := NewPool(nil)
-	for id, want := range map[string]string{"1": "ok"} {
-		if body, _, err := doRequest(p, newRequest(address, id)); err != nil || body != want {
-			t.Errorf("request %s: body %q, error %v; want %q", id, body, err, want)
-		}
+	if body, _, err := doRequest(p, newRequest(address, "1")); err != nil || body != "ok" {
+		t.Errorf("first request: body %q, error %v; want ok", body, err)
 	}
 	if body, resp, err := doRequest(p, newRequest(address, "2")); err != nil || body != "b" || !resp.Reused {
 		t.Errorf("second request: body %q, error %v; want b on the same connection", body, err)
--- a/internal/exchange/headlimit.go
+++ b/internal/exchange/headlimit.go
@@ -6,13 +6,13 @@
 	"github.com/go-faster/errors"
 )
 
-// maxHeadBytes limits the head of a response, including responses to earlier requests
-// and interim responses before it.
+// maxHeadBytes limits the head of one response. Interim responses and responses to
+// earlier requests, whose number is limited too, have heads of their own.
 const maxHeadBytes = 64 << 10
 
-// ErrHeadTooLong is the cause of an Error when an upstream sends a response whose head
+// errHeadTooLong is the cause of an Error when an upstream sends a response whose head
 // does not end within maxHeadBytes.
-var ErrHeadTooLong = errors.New("head of the response is too long")
+var errHeadTooLong = errors.New("head of the response is too long")
 
 // headLimiter limits the bytes that are read while the head of a response is expected.
 // Without it, a head that never ends is stored until the timeout of the request.
@@ -30,7 +30,7 @@
 		return l.source.Read(p)
 	}
 	if l.remaining <= 0 {
-		return 0, ErrHeadTooLong
+		return 0, errHeadTooLong
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
--- a/internal/gateway/demandestimator.go
+++ b/internal/gateway/demandestimator.go
@@ -20,10 +20,10 @@
 	Requests int
 	// PromptTokens is the mean length of the prompts.
 	PromptTokens float64
-	// OutputTokenSquares is the mean over the requests of the memory that one holds
-	// on average, in tokens, times the length of its output, in tokens. Divided by
-	// the memory and the token rate of an engine, it is the engine time of a request.
-	OutputTokenSquares float64
+	// MemoryOutputProduct is the mean of the memory that a request holds on average
+	// times the length of its output, both in tokens. Divided by the memory and the
+	// token rate of an engine, it is the engine time of a request.
+	MemoryOutputProduct float64
 }
 
 // observe includes one request.
@@ -31,13 +31,13 @@
 	w.Requests++
 	weight := max(minWorkWeight, 1/float64(w.Requests))
 	w.PromptTokens += (prompt - w.PromptTokens) * weight
-	w.OutputTokenSquares += ((prompt+output/2)*output - w.OutputTokenSquares) * weight
+	w.MemoryOutputProduct += ((prompt+output/2)*output - w.MemoryOutputProduct) * weight
 }
 
 // valid reports whether the work reported by a peer can be used.
 func (w Work) valid() bool {
-	return w.Requests > 0 && w.PromptTokens >= 0 && w.OutputTokenSquares >= 0 &&
-		w.PromptTokens < maxReportedTokens && w.OutputTokenSquares < maxReportedTokens*maxReportedTokens
+	return w.Requests > 0 && w.PromptTokens >= 0 && w.MemoryOutputProduct >= 0 &&
+		w.PromptTokens < maxReportedTokens && w.MemoryOutputProduct < maxReportedTokens*maxReportedTokens
 }
 
 // maxReportedTokens is the largest token count that is accepted from a peer.
@@ -110,12 +110,12 @@
 		weight := min(maxWorkRequests, float64(w.Requests))
 		sum.Requests += w.Requests
 		sum.PromptTokens += w.PromptTokens * weight
-		sum.OutputTokenSquares += w.OutputTokenSquares * weight
+		sum.MemoryOutputProduct += w.MemoryOutputProduct * weight
 		weights += weight
 	}
 	if weights > 0 {
 		sum.PromptTokens /= weights
-		sum.OutputTokenSquares /= weights
+		sum.MemoryOutputProduct /= weights
 	}
 	return sum
 }
@@ -136,7 +136,7 @@
 		Requests:       work.Requests,
 		PrefillSeconds: work.PromptTokens / speed.PrefillRate,
 		// An engine runs as many requests at once as fit into its memory.
-		DecodeSeconds: work.OutputTokenSquares / (g.scheduler.usableMemory(service) * speed.TokenRate(service.Engine.TokensPerEvent)),
+		DecodeSeconds: work.MemoryOutputProduct / (g.scheduler.usableMemory(service) * speed.TokenRate(service.Engine.TokensPerEvent)),
 	}
 }
 
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -32,11 +32,21 @@
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
 	}
 	if !onlyChanged {
-		state.Services = g.scheduler.load.serviceReports(g.demandEstimator.ownWork)
+		state.Services = g.serviceReports()
 	}
 	return state
 }
 
+// serviceReports returns what this gateway measured of the model services. It holds
+// no lock of the load table while it takes that of the demand estimator.
+func (g *Gateway) serviceReports() []ServiceReport {
+	reports := g.scheduler.load.ownSpeeds()
+	for i := range reports {
+		reports[i].Work = g.demandEstimator.ownWork(reports[i].Service)
+	}
+	return reports
+}
+
 // ReceivePeerState applies the state that another gateway sent.
 func (g *Gateway) ReceivePeerState(peer string, s PeerState, now time.Time) {
 	s.Services = g.knownModelServices(s.Services)
--- a/internal/gateway/prefillbacklog.go
+++ b/internal/gateway/prefillbacklog.go
@@ -8,9 +8,9 @@
 )
 
 // prefillBacklog estimates the prompts of other gateways that an engine has yet to
-// process. Gateways report each prompt that they send, but that a prompt is done is
-// known to its sender only until the next report. The estimate therefore shrinks at
-// the speed of the engine.
+// process. A gateway reports a prompt when it sends it, but reports that the prompt is
+// done only with its next message. The estimate therefore shrinks at the speed of the
+// engine.
 type prefillBacklog struct {
 	// tokens is the estimate at the time at.
 	tokens float64
@@ -71,17 +71,23 @@
 	defer t.mu.Unlock()
 	e := t.engine(engineKeyOf(u))
 	e.service = u.Instance().Service
-	speed := e.deviation.PrefillSpeed(t.service(e.service).speed.Speed())
+	speed := t.prefillSpeed(e)
 	e.backlog.drain(speed.PrefillRate, now)
 	return prefillState{peerTokens: int64(e.backlog.tokens), speed: speed}
 }
 
+// prefillSpeed returns the speed of an engine whose service is known. The caller holds
+// t.mu.
+func (t *loadTable) prefillSpeed(e *aggregateLoad) profile.Speed {
+	return e.deviation.PrefillSpeed(t.service(e.service).speed.Speed())
+}
+
 // reportPrefill takes over the report of a peer on its prompts at an engine. The
 // caller holds t.mu.
 func (t *loadTable) reportPrefill(e *aggregateLoad, peer string, r prefillReport, now time.Time) {
 	rate := 0.0
 	if e.service != "" {
-		rate = e.deviation.PrefillSpeed(t.service(e.service).speed.Speed()).PrefillRate
+		rate = t.prefillSpeed(e).PrefillRate
 	}
 	e.backlog.report(peer, r, rate, now)
 }
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -317,7 +317,7 @@
 		isRetry:      c.RetryAge > 0,
 	}
 	speed := s.load.speedOf(c.Service.Name)
-	w.minDelay = minPrefillTime(c, speed)
+	w.minDelay = minFirstEventTime(c, speed)
 	w.firstEventDeadline = c.Received.Add(c.Route.LatencyTarget - c.RetryAge)
 	// Output that the deadline cuts off has no value, so the request must be placed
 	// early enough to finish.
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -117,20 +117,21 @@
 	return invalid
 }
 
-// serviceReports returns what this gateway measured, for its peers.
-func (t *loadTable) serviceReports(work func(service string) Work) []ServiceReport {
+// ownSpeeds returns the speeds that this gateway measured, for its peers. The work of
+// the services is not filled in.
+func (t *loadTable) ownSpeeds() []ServiceReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []ServiceReport
 	for name, s := range t.services {
-		out = append(out, ServiceReport{Service: name, Speed: s.speed.Own(), Work: work(name)})
+		out = append(out, ServiceReport{Service: name, Speed: s.speed.Own()})
 	}
 	return out
 }
 
-// minPrefillTime returns the shortest time from the placement of a request to its
+// minFirstEventTime returns the shortest time from the placement of a request to its
 // first event at the client.
-func minPrefillTime(c *Call, speed profile.Speed) time.Duration {
+func minFirstEventTime(c *Call, speed profile.Speed) time.Duration {
 	return speed.PrefillTime(float64(c.Model.PromptTokens)) + speed.FirstEventDelay + clientLatency
 }
 
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -33,7 +33,7 @@
 				FirstEventDelay: profile.Average{LogMean: -4.5, Samples: 3},
 				Prefill:         profile.Line{Samples: 7, MeanX: 3000, MeanY: 0.125, VarX: 250000, Cov: 8},
 			},
-			Work: gateway.Work{Requests: 44, PromptTokens: 3200, OutputTokenSquares: 3e6},
+			Work: gateway.Work{Requests: 44, PromptTokens: 3200, MemoryOutputProduct: 3e6},
 		}},
 	}}
 }
--- a/internal/gossip/services.go
+++ b/internal/gossip/services.go
@@ -22,7 +22,7 @@
 		b = appendLine(b, s.Speed.Prefill)
 		b = binary.AppendUvarint(b, uint64(max(0, s.Work.Requests)))
 		b = appendFloat(b, s.Work.PromptTokens)
-		b = appendFloat(b, s.Work.OutputTokenSquares)
+		b = appendFloat(b, s.Work.MemoryOutputProduct)
 	}
 	return b
 }
@@ -57,7 +57,7 @@
 		var s gateway.ServiceReport
 		s.Service = r.str()
 		s.Speed = profile.Measurements{EventInterval: r.average(), FirstEventDelay: r.average(), Prefill: r.line()}
-		s.Work = gateway.Work{Requests: int(r.uvarint(maxCount)), PromptTokens: r.float(), OutputTokenSquares: r.float()}
+		s.Work = gateway.Work{Requests: int(r.uvarint(maxCount)), PromptTokens: r.float(), MemoryOutputProduct: r.float()}
 		if r.err != nil {
 			return nil
 		}
