Log what identifies an interrupted run, and count them

Each interrupted run now leaves a line with its fingerprint, the shared parts of its prompt, the incarnation of the upstream and how long its output had lasted; fescueslip_gateway_interrupted_runs counts them. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -59,6 +59,10 @@
 	// ExpectedOutputTokens is the client's estimate of the output length, or 0 if it
 	// sent none.
 	ExpectedOutputTokens int
+	// SharedParts holds the IDs of the parts of the prompt that other requests may
+	// have too, in the order of the prompt. The last part of a prompt, which belongs
+	// to the request or its session, is not among them.
+	SharedParts []string
 }
 
 // Purpose says what an upstream does with a request.
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -50,10 +50,25 @@
 
 // recordInterruption records that the upstream stopped running the call before its
 // end.
-func (g *Gateway) recordInterruption(c *Call, instance *fleet.Instance, now time.Time) {
+func (g *Gateway) recordInterruption(c *Call, instance *fleet.Instance, relay *streamRelay, now time.Time) {
+	g.logInterruption(c, instance, relay)
+	g.Metrics.interrupted(c.Service.Name)
 	g.crashDetector.watchlist.RecordInterruption(c.fingerprint(), quarantine.Process{Upstream: instance.ID, Incarnation: instance.Incarnation}, now)
 }
 
+// logInterruption logs what identifies the interrupted run and how far it came, so
+// that runs that ended with the same upstream can be compared. relay is nil if no
+// response had begun.
+func (g *Gateway) logInterruption(c *Call, instance *fleet.Instance, relay *streamRelay) {
+	var output time.Duration
+	began := false
+	if relay != nil {
+		output, began = relay.runOutput()
+	}
+	g.Logger.Info("run interrupted", "request", c.ID, "upstream", instance.ID, "incarnation", instance.Incarnation,
+		"fingerprint", c.fingerprint().String(), "shared_parts", c.Model.SharedParts, "output_began", began, "output_ms", output.Milliseconds())
+}
+
 // recordCompletion records that the call ran to completion.
 func (g *Gateway) recordCompletion(c *Call, now time.Time) {
 	if !g.crashDetector.watchlist.Empty() {
@@ -69,17 +84,17 @@
 		return
 	}
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadlineExceeded) {
-		g.recordInterruption(c, r.instance, now)
+		g.recordInterruption(c, r.instance, nil, now)
 	}
 }
 
 // recordStreamEnd records whether the relayed stream of an upstream ended normally.
-func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, err error) {
+func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, relay *streamRelay, err error) {
 	switch {
 	case err == nil:
 		g.recordCompletion(c, time.Now())
 	case ctx.Err() == nil && !errors.Is(err, errClientDisconnected):
-		g.recordInterruption(c, instance, time.Now())
+		g.recordInterruption(c, instance, relay, time.Now())
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,12 +22,14 @@
 	// eventInterval and prefillRate are the estimated speeds of engines, by service.
 	eventInterval metric.Float64Gauge
 	prefillRate   metric.Float64Gauge
+	// interruptions counts runs that an upstream began and did not complete.
+	interruptions metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a gateway with the meter.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	out := &Metrics{}
-	var errs [7]error
+	var errs [8]error
 	out.requests, errs[0] = m.Int64Counter("fescueslip_gateway_requests",
 		metric.WithDescription("Requests that ended, by kind of route and status class."))
 	out.refusals, errs[1] = m.Int64Counter("fescueslip_gateway_refusals",
@@ -42,6 +44,8 @@
 		metric.WithDescription("Estimated time between two events of a stream, by service."), metric.WithUnit("s"))
 	out.prefillRate, errs[6] = m.Float64Gauge("fescueslip_gateway_prefill_tokens_per_second",
 		metric.WithDescription("Estimated prompt tokens that an engine processes per second, by service."))
+	out.interruptions, errs[7] = m.Int64Counter("fescueslip_gateway_interrupted_runs",
+		metric.WithDescription("Runs that an upstream may have begun and did not complete, by service."))
 	return out, errors.Join(errs[:]...)
 }
 
@@ -55,6 +59,14 @@
 	m.prefillRate.Record(context.Background(), s.PrefillRate, service)
 }
 
+// interrupted counts a run that an upstream of the service did not complete.
+func (m *Metrics) interrupted(service string) {
+	if m == nil {
+		return
+	}
+	m.interruptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 // refused counts a request that was refused or failed, by error kind.
 func (m *Metrics) refused(kind fault.Kind) {
 	if m == nil {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -84,7 +84,7 @@
 	if !m.gateway.allowRetry(m.call, 0) {
 		return false
 	}
-	m.relay.discardPartial()
+	m.relay.beginRun()
 	if id := m.relay.lastID; id != "" {
 		m.call.ResumeAfter = id
 	}
@@ -258,7 +258,7 @@
 		m.relay.onFirstEvent = placed.finishPrefill
 	}
 	err = m.relay.copy(r.resp.Body)
-	m.gateway.recordStreamEnd(ctx, m.call, instance, err)
+	m.gateway.recordStreamEnd(ctx, m.call, instance, m.relay, err)
 	m.outcome.firstByte, m.outcome.model.events = m.relay.firstWrite, m.relay.events
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
@@ -297,7 +297,10 @@
 	pending []byte
 	// firstWrite and lastWrite are the times of the first and the last event.
 	firstWrite, lastWrite time.Time
-	events                int
+	// runStart is the time of the first event of the current run. It differs from
+	// firstWrite in a resumed stream.
+	runStart time.Time
+	events   int
 	// lastID is the ID of the last forwarded event.
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
@@ -330,8 +333,21 @@
 	s.lastID = string(bytes.TrimSpace(line))
 }
 
-// discardPartial drops an event of which only a part has arrived.
-func (s *streamRelay) discardPartial() { s.pending = s.pending[:0] }
+// beginRun prepares the relay for the output of another run. It drops an event of
+// which the run before sent only a part.
+func (s *streamRelay) beginRun() {
+	s.pending = s.pending[:0]
+	s.runStart = time.Time{}
+}
+
+// runOutput returns the time from the first to the last event of the current run, and
+// whether the run has had an event at all.
+func (s *streamRelay) runOutput() (time.Duration, bool) {
+	if s.runStart.IsZero() {
+		return 0, false
+	}
+	return s.lastWrite.Sub(s.runStart), true
+}
 
 // relayBufferSize is the size of the read buffer of a relayed stream, in bytes.
 const relayBufferSize = 4 << 10
@@ -380,6 +396,9 @@
 		return nil
 	}
 	s.lastWrite = time.Now()
+	if s.runStart.IsZero() {
+		s.runStart = s.lastWrite
+	}
 	if s.firstWrite.IsZero() {
 		s.firstWrite = s.lastWrite
 		if s.onFirstEvent != nil {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -62,7 +62,7 @@
 	w.WriteHeader(r.resp.Status)
 	relay := newStreamRelay(w)
 	res.abortCause = relay.copy(r.resp.Body)
-	g.recordStreamEnd(ctx, c, r.instance, res.abortCause)
+	g.recordStreamEnd(ctx, c, r.instance, relay, res.abortCause)
 	res.firstByte = relay.firstWrite
 	return r, true
 }
