Suspend the prompt part that crashes engines, not only whole requests

Cause: the watchlist judged whole requests only, so each had one crash to its name. Change: a request now has several subjects, its own fingerprint and those of the shared parts of its prompt, and an interrupted run counts against all of them. Runs past the point of the crash clear their parts, on all gateways. Requests that waited are checked again before their prompt is read and before they run. A part is tried again after 10 minutes, and its first crash then suspends it again. Tests of the watchlist call it with lists of subjects; their checks are unchanged.

--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -20,9 +20,9 @@
 	Upstreams     []upstreamStatus `json:"upstreams"`
 	// EngineSpeeds lists the estimated speeds of the engines of each model service.
 	EngineSpeeds []engineSpeedStatus `json:"engine_speeds"`
-	// Suspended lists the fingerprints of the requests that are refused because
-	// upstreams crashed while running them.
-	Suspended []quarantine.Fingerprint `json:"suspended"`
+	// Suspended lists the requests that are refused because upstreams crashed while
+	// running them.
+	Suspended []suspensionStatus `json:"suspended"`
 }
 
 // upstreamStatus is the JSON form of an upstream in the state of a gateway.
@@ -54,6 +54,21 @@
 	PrefillDelayMs    float64 `json:"prefill_delay_ms"`
 }
 
+// suspensionStatus is the JSON form of a suspension. A request that has all subjects
+// is refused; a subject is the fingerprint of a request or of a part of its prompt.
+type suspensionStatus struct {
+	Subjects []quarantine.Fingerprint `json:"subjects"`
+	Crashed  []string                 `json:"crashed"`
+}
+
+func newSuspensionStatuses(suspensions []quarantine.Suspension) []suspensionStatus {
+	var out []suspensionStatus
+	for _, s := range suspensions {
+		out = append(out, suspensionStatus{Subjects: s.Subjects, Crashed: upstreamsOf(s.Processes)})
+	}
+	return out
+}
+
 // newEngineSpeeds converts the estimated speeds for the state dump.
 func newEngineSpeeds(speeds []gateway.ServiceSpeed) []engineSpeedStatus {
 	const msPerSecond = 1000
@@ -81,7 +96,7 @@
 		Connections:   p.Pool.OpenedTotal(),
 	}
 	now := time.Now()
-	state.Suspended = g.Suspended(now)
+	state.Suspended = newSuspensionStatuses(g.Suspended(now))
 	state.EngineSpeeds = newEngineSpeeds(g.ServiceSpeeds())
 	for _, u := range snapshot.All() {
 		instance, health := u.Instance(), u.Health(now)
--- a/internal/app/gateway_suspensions.go
+++ b/internal/app/gateway_suspensions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
@@ -16,9 +17,10 @@
 	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
-// suspensionsPrefix is the prefix of the store keys of requests that are suspended
-// because they crash upstreams; the rest of the key is the request's fingerprint.
-// Gateways that start later learn of the suspensions from these keys.
+// suspensionsPrefix is the prefix of the store keys of suspensions, by which requests
+// are refused because they crash upstreams. The rest of the key is the fingerprint that
+// requests must have to be refused, or a hash of several such fingerprints. Gateways
+// that start later learn of the suspensions from these keys.
 const suspensionsPrefix = "fescueslip/suspended/"
 
 const (
@@ -28,12 +30,36 @@
 	suspensionRetryDelay = time.Second
 )
 
-// suspensionEntry is the value of a suspension in the store. Only operators read it.
+// suspensionEntry is the value of a suspension in the store.
 type suspensionEntry struct {
 	// By is the gateway that detected the crashes.
 	By string `json:"by"`
 	// Crashed lists the upstreams that crashed while running the request.
 	Crashed []string `json:"crashed"`
+	// Subjects lists the fingerprints that a request must have to be refused. It is
+	// missing in entries of an earlier release, whose key holds the only one.
+	Subjects []quarantine.Fingerprint `json:"subjects,omitempty"`
+}
+
+// upstreamsOf returns the names of the upstreams to which the processes belong.
+func upstreamsOf(processes []quarantine.Process) []string {
+	var out []string
+	for _, p := range processes {
+		out = append(out, p.Upstream)
+	}
+	return out
+}
+
+// suspensionName returns the last part of the key of a suspension.
+func suspensionName(s quarantine.Suspension) string {
+	if len(s.Subjects) == 1 {
+		return s.Subjects[0].String()
+	}
+	var parts [][]byte
+	for _, f := range s.Subjects {
+		parts = append(parts, f[:])
+	}
+	return quarantine.FingerprintOf(parts...).String()
 }
 
 // shareSuspensions writes this gateway's own suspensions to the store.
@@ -65,26 +91,23 @@
 // write stores the suspension and retries for up to half of its duration. Several
 // gateways may write the same suspension; the last write wins.
 func (w *suspensionWriter) write(ctx context.Context, s quarantine.Suspension) {
-	entry := suspensionEntry{By: w.ownName}
-	for _, process := range s.Processes {
-		entry.Crashed = append(entry.Crashed, process.Upstream)
-	}
+	entry := suspensionEntry{By: w.ownName, Crashed: upstreamsOf(s.Processes), Subjects: s.Subjects}
 	value, err := json.Marshal(entry)
 	if err != nil {
 		w.log.Error("suspension not shared", "err", err)
 		return
 	}
-	name := s.Fingerprint.String()
+	name := suspensionName(s)
 	for deadline := time.Now().Add(quarantine.SuspensionDuration / 2); time.Now().Before(deadline); {
 		if err = w.put(ctx, suspensionsPrefix+name, value); err == nil {
-			w.log.Info("suspension shared", "fingerprint", name)
+			w.log.Info("suspension shared", "name", name)
 			return
 		}
 		if !wait.For(ctx, suspensionRetryDelay) {
 			return
 		}
 	}
-	w.log.Warn("suspension not shared", "fingerprint", name, "err", err)
+	w.log.Warn("suspension not shared", "name", name, "err", err)
 }
 
 func (w *suspensionWriter) put(ctx context.Context, key string, value []byte) error {
@@ -117,13 +140,13 @@
 			r.appliedRevisions = make(map[string]uint64)
 		}
 		r.appliedRevisions[key] = entry.Revision
-		var fingerprint quarantine.Fingerprint
-		if err := fingerprint.UnmarshalText([]byte(name)); err != nil {
-			r.log.Warn("suspension has an invalid fingerprint; ignoring it", "key", key, "store_revision", entry.Revision, "err", err)
+		suspension, err := readSuspension(name, entry.Value)
+		if err != nil {
+			r.log.Warn("suspension cannot be decoded; ignoring it", "key", key, "store_revision", entry.Revision, "err", err)
 			continue
 		}
-		r.gateway.Suspend(fingerprint, time.Now())
-		r.log.Info("request suspended because another gateway stored its suspension", "fingerprint", name, "store_revision", entry.Revision)
+		r.gateway.Suspend(suspension, time.Now())
+		r.log.Info("request suspended because another gateway stored its suspension", "subjects", suspension.Subjects, "store_revision", entry.Revision)
 	}
 	for key := range r.appliedRevisions {
 		if _, present := view.Entries[key]; !present {
@@ -131,3 +154,23 @@
 		}
 	}
 }
+
+// readSuspension decodes a suspension. name is the last part of its key.
+func readSuspension(name string, value []byte) (quarantine.Suspension, error) {
+	var entry suspensionEntry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return quarantine.Suspension{}, errors.Wrap(err, "decode suspension")
+	}
+	s := quarantine.Suspension{Subjects: entry.Subjects}
+	if len(s.Subjects) == 0 {
+		var f quarantine.Fingerprint
+		if err := f.UnmarshalText([]byte(name)); err != nil {
+			return quarantine.Suspension{}, err
+		}
+		s.Subjects = []quarantine.Fingerprint{f}
+	}
+	for _, upstream := range entry.Crashed {
+		s.Processes = append(s.Processes, quarantine.Process{Upstream: upstream})
+	}
+	return s, nil
+}
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -10,8 +10,13 @@
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
-// maxQueuedSuspensions limits the suspensions that wait to be written to the store.
-const maxQueuedSuspensions = 64
+const (
+	// maxQueuedSuspensions limits the suspensions that wait to be written to the store.
+	maxQueuedSuspensions = 64
+	// soundOutput is how long the output of a run lasts before the run proves the parts
+	// of its prompt sound. A part that crashes engines does so when the output begins.
+	soundOutput = 250 * time.Millisecond
+)
 
 // crashDetector prevents requests that crash upstreams from being sent again.
 type crashDetector struct {
@@ -30,12 +35,36 @@
 	return quarantine.FingerprintOf([]byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body)
 }
 
+// partFingerprints returns the fingerprints of the parts of the prompt that other
+// requests share.
+func (c *Call) partFingerprints() []quarantine.Fingerprint {
+	out := make([]quarantine.Fingerprint, 0, len(c.Model.SharedParts)+1)
+	for _, id := range c.Model.SharedParts {
+		out = append(out, quarantine.PartFingerprint(c.Model.Model, id))
+	}
+	return out
+}
+
+// subjects returns the fingerprints of the call and of the shared parts of its prompt.
+func (c *Call) subjects() []quarantine.Fingerprint {
+	return append(c.partFingerprints(), c.fingerprint())
+}
+
 // suspended reports whether the call must not be sent, and for how much longer.
 func (g *Gateway) suspended(call *Call, now time.Time) (time.Duration, bool) {
 	if g.crashDetector.watchlist.Empty() {
 		return 0, false
 	}
-	return g.crashDetector.watchlist.Suspended(call.fingerprint(), now)
+	return g.crashDetector.watchlist.Suspended(call.subjects(), now)
+}
+
+// checkSuspended returns the refusal for a call that must not be sent, or nil. It is
+// called before each step of a model request, because the call may have waited.
+func (g *Gateway) checkSuspended(c *Call) error {
+	if left, suspended := g.suspended(c, time.Now()); suspended {
+		return suspendedError(left)
+	}
+	return nil
 }
 
 // allowRetry takes one repeated attempt from the retry budget. It refuses calls that
@@ -49,11 +78,13 @@
 }
 
 // recordInterruption records that the upstream stopped running the call before its
-// end.
-func (g *Gateway) recordInterruption(c *Call, instance *fleet.Instance, relay *streamRelay, now time.Time) {
+// end. suspects are the fingerprints that may have made it crash.
+func (g *Gateway) recordInterruption(c *Call, instance *fleet.Instance, relay *streamRelay, suspects []quarantine.Fingerprint) {
 	g.logInterruption(c, instance, relay)
 	g.Metrics.interrupted(c.Service.Name)
-	g.crashDetector.watchlist.RecordInterruption(c.fingerprint(), quarantine.Process{Upstream: instance.ID, Incarnation: instance.Incarnation}, now)
+	process := quarantine.Process{Upstream: instance.ID, Incarnation: instance.Incarnation}
+	g.crashDetector.watchlist.RecordInterruption(suspects, process, time.Now())
+	g.announce()
 }
 
 // logInterruption logs what identifies the interrupted run and how far it came, so
@@ -66,7 +97,7 @@
 		output, began = relay.runOutput()
 	}
 	g.Logger.Info("run interrupted", "request", c.ID, "upstream", instance.ID, "incarnation", instance.Incarnation,
-		"fingerprint", c.fingerprint().String(), "shared_parts", c.Model.SharedParts, "output_began", began, "output_ms", output.Milliseconds())
+		"subjects", c.subjects(), "shared_parts", c.Model.SharedParts, "output_began", began, "output_ms", output.Milliseconds())
 }
 
 // recordCompletion records that the call ran to completion.
@@ -76,25 +107,43 @@
 	}
 }
 
-// recordFailedAttempt records an attempt without a usable response if the upstream
-// may have crashed. A broken connection counts, and so does an upstream that stayed
-// silent until the deadline of the request.
-func (g *Gateway) recordFailedAttempt(ctx context.Context, c *Call, r *attemptResult, now time.Time) {
-	if r.err == nil || !r.mayHaveRun {
-		return
+// recordSound records that a run of the call proved the parts of its prompt sound.
+func (g *Gateway) recordSound(c *Call) {
+	if len(c.Model.SharedParts) > 0 {
+		g.crashDetector.watchlist.RecordSound(c.partFingerprints(), time.Now())
 	}
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errDeadlineExceeded) {
-		g.recordInterruption(c, r.instance, nil, now)
+}
+
+// recordFailedAttempt records an attempt without a usable response if the upstream
+// may have crashed. A broken connection counts. An upstream that stayed silent until
+// the deadline of the request counts against the request, but not against the parts of
+// its prompt: all requests at a silent upstream end that way.
+func (g *Gateway) recordFailedAttempt(ctx context.Context, c *Call, r *attemptResult) {
+	switch {
+	case r.err == nil || !r.mayHaveRun:
+	case ctx.Err() == nil:
+		g.recordInterruption(c, r.instance, nil, c.subjects())
+	case errors.Is(context.Cause(ctx), errDeadlineExceeded):
+		g.recordInterruption(c, r.instance, nil, []quarantine.Fingerprint{c.fingerprint()})
 	}
 }
 
-// recordStreamEnd records whether the relayed stream of an upstream ended normally.
+// recordStreamEnd records whether the relayed stream of an upstream ended normally. A
+// run whose output had lasted for soundOutput did not crash its upstream because of a
+// part of its prompt.
 func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, relay *streamRelay, err error) {
+	output, began := relay.runOutput()
 	switch {
 	case err == nil:
 		g.recordCompletion(c, time.Now())
-	case ctx.Err() == nil && !errors.Is(err, errClientDisconnected):
-		g.recordInterruption(c, instance, relay, time.Now())
+		if began {
+			g.recordSound(c)
+		}
+	case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
+	case began && output >= soundOutput:
+		g.recordInterruption(c, instance, relay, []quarantine.Fingerprint{c.fingerprint()})
+	default:
+		g.recordInterruption(c, instance, relay, c.subjects())
 	}
 }
 
@@ -109,13 +158,12 @@
 		return snapshot.Find(process.Upstream, process.Incarnation) != nil
 	}
 	for _, s := range g.crashDetector.watchlist.Settle(now, g.ListReadableSince(), listed) {
-		name := s.Fingerprint.String()
-		g.Logger.Error("request suspended: upstreams crashed while they ran it", "fingerprint", name,
+		g.Logger.Error("request suspended: upstreams crashed while they ran it", "subjects", s.Subjects,
 			"crashed", s.Processes, "fleet_revision", snapshot.Revision)
 		select {
 		case g.crashDetector.newSuspensions <- s:
 		default:
-			g.Logger.Error("suspension not shared: too many wait to be written", "fingerprint", name)
+			g.Logger.Error("suspension not shared: too many wait to be written", "subjects", s.Subjects)
 		}
 	}
 }
@@ -123,12 +171,12 @@
 // Suspensions returns the channel of suspensions that this gateway decided on.
 func (g *Gateway) Suspensions() <-chan quarantine.Suspension { return g.crashDetector.newSuspensions }
 
-// Suspend refuses a request that another gateway found to crash upstreams.
-func (g *Gateway) Suspend(f quarantine.Fingerprint, now time.Time) {
-	g.crashDetector.watchlist.AddSuspension(f, now)
+// Suspend refuses the requests that another gateway found to crash upstreams.
+func (g *Gateway) Suspend(s quarantine.Suspension, now time.Time) {
+	g.crashDetector.watchlist.AddSuspension(s, now)
 }
 
-// Suspended returns the fingerprints of all suspended requests.
-func (g *Gateway) Suspended(now time.Time) []quarantine.Fingerprint {
+// Suspended returns the suspensions that are in effect.
+func (g *Gateway) Suspended(now time.Time) []quarantine.Suspension {
 	return g.crashDetector.watchlist.Suspensions(now)
 }
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -123,7 +123,18 @@
 	}
 	defer func() { m.gateway.scheduler.removeRequest(placed) }()
 	m.outcome.model.medianOutput = placed.request.load.MedianOutputTokens
+	if err := m.gateway.checkSuspended(m.call); err != nil {
+		m.gateway.releaseReservation(placed.reservation, m.call.ID)
+		placed.finishPrefill()
+		return true, err
+	}
 	source, err := m.prefill(ctx, &placed)
+	if err == nil {
+		if err = m.gateway.checkSuspended(m.call); err != nil {
+			m.releasePrefill(source)
+			placed.finishPrefill()
+		}
+	}
 	if err != nil {
 		m.gateway.releaseReservation(placed.reservation, m.call.ID)
 		return true, err
@@ -257,6 +268,7 @@
 	if p == nil {
 		m.relay.onFirstEvent = placed.finishPrefill
 	}
+	m.relay.onSound = func() { m.gateway.recordSound(m.call) }
 	err = m.relay.copy(r.resp.Body)
 	m.gateway.recordStreamEnd(ctx, m.call, instance, m.relay, err)
 	m.outcome.firstByte, m.outcome.model.events = m.relay.firstWrite, m.relay.events
@@ -305,6 +317,9 @@
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
 	onFirstEvent func()
+	// onSound, if set, is called once in a run, when its output has lasted for
+	// soundOutput.
+	onSound func()
 }
 
 func newStreamRelay(w http.ResponseWriter) *streamRelay {
@@ -399,6 +414,10 @@
 	if s.runStart.IsZero() {
 		s.runStart = s.lastWrite
 	}
+	if s.onSound != nil && s.lastWrite.Sub(s.runStart) >= soundOutput {
+		s.onSound()
+		s.onSound = nil
+	}
 	if s.firstWrite.IsZero() {
 		s.firstWrite = s.lastWrite
 		if s.onFirstEvent != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -331,7 +331,7 @@
 // recordHealth updates the health of the upstream from the result.
 func (g *Gateway) recordHealth(ctx context.Context, c *Call, u *fleet.Upstream, r *attemptResult) {
 	now := time.Now()
-	g.recordFailedAttempt(ctx, c, r, now)
+	g.recordFailedAttempt(ctx, c, r)
 	switch {
 	case r.err != nil && ctx.Err() != nil:
 		// The gateway or the client ended the attempt. If the time of the request
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,7 +12,6 @@
 package quarantine
 
 import (
-	"encoding/hex"
 	"encoding/json"
 	"slices"
 
@@ -29,26 +28,6 @@
 	maxRecords = 2000
 )
 
-// Fingerprint is a hash of the parts of a request that determine what the upstreams
-// run.
-type Fingerprint [16]byte
-
-// String returns the hexadecimal form that is used in logs and keys.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
-
-// MarshalText implements encoding.TextMarshaler.
-func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (f *Fingerprint) UnmarshalText(text []byte) error {
-	raw, err := hex.DecodeString(string(text))
-	if err != nil || len(raw) != len(f) {
-		return errors.Errorf("fingerprint %q: want %d hex digits", text, 2*len(f))
-	}
-	copy(f[:], raw)
-	return nil
-}
-
 // Status says how a request with a fingerprint may run.
 type Status int
 
--- a/internal/quarantine/watchlist.go
+++ b/internal/quarantine/watchlist.go
@@ -1,7 +1,7 @@
 package quarantine
 
 import (
-	"crypto/sha256"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,115 +16,98 @@
 // Notice is a report about a fingerprint that processes send to each other.
 type Notice struct {
 	Fingerprint Fingerprint
-	// Process is where a run of the request was interrupted. It is empty if
-	// Completed is set.
+	// Process is where a run was interrupted. It is empty if Completed is set.
 	Process Process
-	// Completed means that the request ran to completion.
+	// Completed means that a run got past the point at which it would have crashed
+	// its upstream.
 	Completed bool
 }
 
 const (
-	// suspensionThreshold is the number of upstreams that must have crashed with a
-	// request before it is suspended. A rack failure can take two upstreams at once;
-	// a third crash after them is no coincidence.
+	// suspensionThreshold is the number of crashes after which a fingerprint is
+	// suspended. A rack failure can take two upstreams at once; a third crash after
+	// them is no coincidence.
 	suspensionThreshold = 3
+	// unexplainedThreshold is the number of crashes of a fingerprint that no other
+	// suspected fingerprint explains. Fewer than that may be due to the others.
+	unexplainedThreshold = 2
 	// confirmTimeout is how long an interrupted run counts as a possible crash.
 	// Within that time a crashed upstream leaves the instance list: it covers three
 	// missed heartbeats and the propagation of the list.
 	confirmTimeout = 6 * time.Second
 	// SuspensionDuration is how long a request is refused after it was last
-	// received.
+	// received, and a prompt part after it was suspended.
 	SuspensionDuration = 10 * time.Minute
 	// watchRetention is how long a fingerprint is remembered after its last event.
 	watchRetention = 30 * time.Minute
-	// maxWatched limits the fingerprints in memory. Beyond the limit, new
-	// fingerprints are ignored until old ones have expired.
+	// maxWatched limits the fingerprints in memory. Beyond the limit, the one with
+	// the oldest event is forgotten.
 	maxWatched = 8192
-	// noticeRepeats is how often each notice is sent, because datagrams may be lost.
-	noticeRepeats = 4
-	// noticeInterval is the minimum time between two transmissions of a notice.
-	noticeInterval = 250 * time.Millisecond
-	// maxNoticesPerMessage limits the notices in one message.
-	maxNoticesPerMessage = 64
 )
 
-// Watchlist detects requests that crash the upstreams that run them. It replaces
-// Record where no sidecar observes the upstream. An interrupted run counts as a
-// crash only if its upstream leaves the instance list soon afterwards, and a run to
-// completion clears the request. It is safe for concurrent use.
+// Watchlist detects requests, and parts of prompts that many requests share, that
+// crash the upstreams that run them. It replaces Record where no sidecar observes the
+// upstream.
+//
+// A request is described by its subjects: its own fingerprint and those of the shared
+// parts of its prompt. An interrupted run counts as a possible crash against each
+// subject, and as a crash once its upstream has left the instance list. A run that gets
+// past the point of the crash clears its subjects, since a subject that crashes
+// upstreams does so in each run. Subjects that always crashed together are suspended
+// together: only a request that has all of them is refused, and the others show which
+// of them is sound.
+//
+// It is safe for concurrent use.
 type Watchlist struct {
-	mu      sync.Mutex
-	watched map[Fingerprint]*watchedRequest
-	outbox  []*outgoingNotice
-	// size equals len(watched). It lets requests skip the lock while the list is
-	// empty.
+	mu          sync.Mutex
+	watched     map[Fingerprint]*subject
+	suspensions []*activeSuspension
+	sound       soundParts
+	outbox      outbox
+	// size is the number of watched fingerprints and suspensions. It lets requests
+	// skip the lock while both lists are empty.
 	size atomic.Int64
 }
 
-// watchedRequest is what is known about one fingerprint.
-type watchedRequest struct {
-	interruptions map[Process]interruption
-	lastSeen      time.Time
-	// suspendedUntil is the end of the suspension, or zero if the request is not
-	// suspended.
-	suspendedUntil time.Time
+// Suspension lists the subjects that a request must have to be refused, and the
+// processes that crashed while they ran such requests.
+type Suspension struct {
+	Subjects  []Fingerprint
+	Processes []Process
 }
 
-// interruption is a run that ended before its completion.
-type interruption struct {
-	at    time.Time
-	state interruptionState
+// activeSuspension is a suspension that is in effect.
+type activeSuspension struct {
+	Suspension
+	until time.Time
 }
 
-// interruptionState tells whether an interruption counts as a crash of the process.
-type interruptionState int
-
-const (
-	// pending interruptions wait for the process to leave the instance list.
-	pending interruptionState = iota
-	// confirmed interruptions count as crashes.
-	confirmed
-	// cleared interruptions do not count. They are kept because other processes may
-	// report them again.
-	cleared
-)
-
-// outgoingNotice is a notice with the state of its transmission.
-type outgoingNotice struct {
-	notice    Notice
-	sendCount int
-	lastSent  time.Time
+// extendable reports whether each request that is refused prolongs the suspension. A
+// part is tried again after a while, since its other requests may be sound.
+func (s *activeSuspension) extendable() bool {
+	return len(s.Subjects) == 1 && !s.Subjects[0].IsPart()
 }
 
 // NewWatchlist returns an empty watchlist.
-func NewWatchlist() *Watchlist { return &Watchlist{watched: make(map[Fingerprint]*watchedRequest)} }
+func NewWatchlist() *Watchlist { return &Watchlist{watched: make(map[Fingerprint]*subject)} }
 
-// FingerprintOf returns the fingerprint of a request that consists of the given
-// parts.
-func FingerprintOf(parts ...[]byte) Fingerprint {
-	h := sha256.New()
-	for _, p := range parts {
-		// The length prefix distinguishes parts whose concatenations are equal.
-		size := len(p)
-		h.Write([]byte{byte(size >> 24), byte(size >> 16), byte(size >> 8), byte(size)})
-		h.Write(p)
-	}
-	var f Fingerprint
-	copy(f[:], h.Sum(nil))
-	return f
-}
-
-// Empty reports whether no request is watched. It takes no lock.
+// Empty reports whether nothing is watched or suspended. It takes no lock.
 func (l *Watchlist) Empty() bool { return l.size.Load() == 0 }
 
-// RecordInterruption records that a run of the request at the given process ended
-// before its completion.
-func (l *Watchlist) RecordInterruption(f Fingerprint, process Process, now time.Time) {
+// updateSize publishes the size. The caller holds l.mu.
+func (l *Watchlist) updateSize() { l.size.Store(int64(len(l.watched) + len(l.suspensions))) }
+
+// RecordInterruption records that a run of a request with the given subjects ended at
+// the process before its completion.
+func (l *Watchlist) RecordInterruption(subjects []Fingerprint, process Process, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.addInterruption(f, process, now) {
-		l.outbox = append(l.outbox, &outgoingNotice{notice: Notice{Fingerprint: f, Process: process}})
+	for _, f := range subjects {
+		if l.addInterruption(f, process, now) {
+			l.outbox.add(Notice{Fingerprint: f, Process: process})
+		}
 	}
+	l.updateSize()
 }
 
 // addInterruption adds an interruption and reports whether it was new. The caller
@@ -133,201 +116,253 @@
 	w, ok := l.watched[f]
 	if !ok {
 		if len(l.watched) >= maxWatched {
-			return false
+			l.forgetOldest()
 		}
-		w = &watchedRequest{interruptions: make(map[Process]interruption)}
+		w = newSubject()
 		l.watched[f] = w
-		l.size.Store(int64(len(l.watched)))
 	}
-	if _, known := w.interruptions[process]; known {
-		return false
+	return w.interrupt(process, now)
+}
+
+// forgetOldest removes the subject with the oldest event. The caller holds l.mu.
+func (l *Watchlist) forgetOldest() {
+	var oldest Fingerprint
+	var seen time.Time
+	for f, w := range l.watched {
+		if seen.IsZero() || w.lastSeen.Before(seen) {
+			oldest, seen = f, w.lastSeen
+		}
 	}
-	w.interruptions[process] = interruption{at: now}
-	w.lastSeen = now
-	return true
+	delete(l.watched, oldest)
 }
 
-// RecordCompletion records that the request ran to completion. It reports whether
-// this cleared any interruption.
+// RecordCompletion records that a request ran to completion. It reports whether this
+// cleared any interruption.
 func (l *Watchlist) RecordCompletion(f Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w, ok := l.watched[f]
-	if !ok || !w.clearInterruptions(now) {
-		return false
+	return l.clear(f, now)
+}
+
+// RecordSound records that a run with the given parts got past the point at which it
+// would have crashed its upstream.
+func (l *Watchlist) RecordSound(parts []Fingerprint, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range parts {
+		l.sound.record(f, now)
+		l.clear(f, now)
 	}
-	l.outbox = append(l.outbox, &outgoingNotice{notice: Notice{Fingerprint: f, Completed: true}})
-	return true
 }
 
-// clearInterruptions marks all interruptions as cleared. It reports whether any of
-// them still counted.
-func (w *watchedRequest) clearInterruptions(now time.Time) bool {
-	changed := false
-	for process, s := range w.interruptions {
-		if s.state != cleared {
-			changed = true
-			w.interruptions[process] = interruption{at: s.at, state: cleared}
-		}
+// clear clears the interruptions of a subject and tells the other processes if any of
+// them still counted. The caller holds l.mu.
+func (l *Watchlist) clear(f Fingerprint, now time.Time) bool {
+	w, ok := l.watched[f]
+	if !ok || !w.clear(now) {
+		return false
 	}
-	w.lastSeen = now
-	return changed
+	l.outbox.add(Notice{Fingerprint: f, Completed: true})
+	return true
 }
 
-// Suspended reports whether the request must not run, and for how much longer.
-// Calling it extends a confirmed suspension, since the request was received again.
-func (l *Watchlist) Suspended(f Fingerprint, now time.Time) (left time.Duration, suspended bool) {
+// Suspended reports whether a request with the given subjects must not run, and for
+// how much longer. It extends the suspension of a request that was received again.
+func (l *Watchlist) Suspended(subjects []Fingerprint, now time.Time) (left time.Duration, suspended bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w, ok := l.watched[f]
-	if !ok {
-		return 0, false
-	}
-	if now.Before(w.suspendedUntil) {
-		w.suspendedUntil, w.lastSeen = now.Add(SuspensionDuration), now
-		return SuspensionDuration, true
+	for _, s := range l.suspensions {
+		if !now.Before(s.until) || !containsAll(subjects, s.Subjects) {
+			continue
+		}
+		if s.extendable() {
+			s.until = now.Add(SuspensionDuration)
+		}
+		return s.until.Sub(now), true
 	}
-	counted, oldest := w.countSuspected()
-	if counted < suspensionThreshold {
-		return 0, false
+	for _, f := range subjects {
+		w, ok := l.watched[f]
+		if ok && l.accused(f, w, subjects, now) {
+			// Some of the interruptions are not confirmed as crashes yet.
+			return max(0, w.oldestPending().Add(confirmTimeout).Sub(now)), true
+		}
 	}
-	// Some of the interruptions are not confirmed as crashes yet.
-	return max(0, oldest.Add(confirmTimeout).Sub(now)), true
+	return 0, false
 }
 
-// countSuspected returns the number of interruptions that count as possible crashes,
-// and the time of the oldest unconfirmed one.
-func (w *watchedRequest) countSuspected() (n int, oldest time.Time) {
-	for _, s := range w.interruptions {
-		if s.state == cleared {
+// accused reports whether a request with the given subjects must be refused because of
+// its subject f: f has enough possible crashes, and the suspected subjects that the
+// request lacks do not explain them. The caller holds l.mu.
+func (l *Watchlist) accused(f Fingerprint, w *subject, subjects []Fingerprint, now time.Time) bool {
+	crashes := w.crashes(possibleCrash)
+	if !l.suspected(f, crashes, now) {
+		return false
+	}
+	for other, o := range l.watched {
+		if len(o.interruptions) < suspensionThreshold || slices.Contains(subjects, other) {
 			continue
 		}
-		n++
-		if s.state == pending && (oldest.IsZero() || s.at.Before(oldest)) {
-			oldest = s.at
+		if explained := o.crashes(possibleCrash); l.suspected(other, explained, now) {
+			crashes = crashes.without(explained)
 		}
 	}
-	return n, oldest
+	return crashes.count(f) >= unexplainedThreshold
 }
 
-// Suspension is a request that was just suspended, with the processes that crashed.
-type Suspension struct {
-	Fingerprint Fingerprint
-	Processes   []Process
+// suspected reports whether the crashes suffice to suspend the subject. The caller
+// holds l.mu.
+func (l *Watchlist) suspected(f Fingerprint, crashes crashTimes, now time.Time) bool {
+	return len(crashes) >= suspensionThreshold && crashes.count(f) >= suspensionThreshold && !l.sound.recent(f, now)
 }
 
-// Settle decides which interruptions were crashes and returns the requests that are
-// suspended from now on. listed reports whether an upstream is in the instance list.
-// since is the time since which the list has been readable. It is zero while the
+// containsAll reports whether list contains all elements of subset.
+func containsAll(list, subset []Fingerprint) bool {
+	for _, f := range subset {
+		if !slices.Contains(list, f) {
+			return false
+		}
+	}
+	return true
+}
+
+// Settle decides which interruptions were crashes and returns the suspensions that
+// are in effect from now on. listed reports whether an upstream is in the instance
+// list. since is the time since which the list has been readable. It is zero while the
 // list is unreadable, and then no interruption is decided.
 func (l *Watchlist) Settle(now, since time.Time, listed func(Process) bool) []Suspension {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []Suspension
 	for f, w := range l.watched {
 		if now.Sub(w.lastSeen) > watchRetention {
 			delete(l.watched, f)
 			continue
 		}
 		if !since.IsZero() {
-			w.settleInterruptions(now, since, listed)
+			w.settle(now, since, listed)
+		}
+	}
+	l.endSuspensions(now)
+	out := l.newSuspensions(now)
+	l.updateSize()
+	return out
+}
+
+// endSuspensions removes the suspensions whose time is over. The caller holds l.mu.
+func (l *Watchlist) endSuspensions(now time.Time) {
+	l.suspensions = slices.DeleteFunc(l.suspensions, func(s *activeSuspension) bool {
+		if now.Before(s.until) {
+			return false
 		}
-		if crashed := w.crashedProcesses(); len(crashed) >= suspensionThreshold && w.suspendedUntil.IsZero() {
-			w.suspendedUntil, w.lastSeen = now.Add(SuspensionDuration), now
-			out = append(out, Suspension{Fingerprint: f, Processes: crashed})
+		for _, f := range s.Subjects {
+			if w, ok := l.watched[f]; ok {
+				w.forgive(f, now)
+			}
+		}
+		return true
+	})
+}
+
+// newSuspensions suspends the subjects with enough confirmed crashes. The caller holds
+// l.mu.
+func (l *Watchlist) newSuspensions(now time.Time) []Suspension {
+	suspects := l.confirmedSuspects(now)
+	var out []Suspension
+	for f, crashes := range suspects {
+		found := Suspension{Subjects: []Fingerprint{f}, Processes: crashes.processes()}
+		unexplained := crashes
+		for other, o := range suspects {
+			switch {
+			case other == f:
+			case o.containsAll(crashes):
+				found.Subjects = append(found.Subjects, other)
+			default:
+				unexplained = unexplained.without(o)
+			}
 		}
-		if !w.suspendedUntil.IsZero() && !now.Before(w.suspendedUntil) {
-			// The request may run again, and its earlier crashes no longer count.
-			w.suspendedUntil = time.Time{}
-			w.clearInterruptions(now)
+		slices.SortFunc(found.Subjects, Fingerprint.Compare)
+		if unexplained.count(f) >= unexplainedThreshold && l.add(found, now) {
+			out = append(out, found)
 		}
 	}
-	l.size.Store(int64(len(l.watched)))
 	return out
 }
 
-// settleInterruptions confirms the pending interruptions whose process is no longer
-// listed. It clears those whose process is still listed when confirmTimeout has
-// passed since the interruption and since the list became readable.
-func (w *watchedRequest) settleInterruptions(now, since time.Time, listed func(Process) bool) {
-	for process, s := range w.interruptions {
-		if s.state != pending {
-			continue
-		}
-		switch {
-		case !listed(process):
-			w.interruptions[process] = interruption{at: s.at, state: confirmed}
-		case now.Sub(s.at) > confirmTimeout && now.Sub(since) > confirmTimeout:
-			w.interruptions[process] = interruption{at: s.at, state: cleared}
+// confirmedSuspects returns the subjects with enough confirmed crashes. The caller
+// holds l.mu.
+func (l *Watchlist) confirmedSuspects(now time.Time) map[Fingerprint]crashTimes {
+	suspects := make(map[Fingerprint]crashTimes)
+	for f, w := range l.watched {
+		if crashes := w.crashes(confirmedCrash); l.suspected(f, crashes, now) {
+			suspects[f] = crashes
 		}
 	}
+	return suspects
 }
 
-// crashedProcesses returns the processes with a confirmed interruption.
-func (w *watchedRequest) crashedProcesses() []Process {
-	var out []Process
-	for process, s := range w.interruptions {
-		if s.state == confirmed {
-			out = append(out, process)
+// add puts a suspension in effect. It reports false if one in effect refuses the same
+// requests already. The caller holds l.mu.
+func (l *Watchlist) add(s Suspension, now time.Time) bool {
+	for _, known := range l.suspensions {
+		if containsAll(s.Subjects, known.Subjects) {
+			return false
 		}
 	}
-	return out
+	l.suspensions = append(l.suspensions, &activeSuspension{Suspension: s, until: now.Add(SuspensionDuration)})
+	return true
 }
 
-// AddSuspension suspends a request that another process found to crash upstreams.
-func (l *Watchlist) AddSuspension(f Fingerprint, now time.Time) {
+// AddSuspension puts a suspension in effect that another process decided on.
+func (l *Watchlist) AddSuspension(s Suspension, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w, ok := l.watched[f]
-	if !ok {
-		w = &watchedRequest{interruptions: make(map[Process]interruption)}
-		l.watched[f] = w
-		l.size.Store(int64(len(l.watched)))
-	}
-	w.suspendedUntil, w.lastSeen = now.Add(SuspensionDuration), now
+	l.add(s, now)
+	l.updateSize()
+}
+
+// Lift ends all suspensions that include the fingerprint and clears its crashes. It
+// reports whether there were any.
+func (l *Watchlist) Lift(f Fingerprint, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := len(l.suspensions)
+	l.suspensions = slices.DeleteFunc(l.suspensions, func(s *activeSuspension) bool { return slices.Contains(s.Subjects, f) })
+	cleared := l.clear(f, now)
+	l.updateSize()
+	return cleared || len(l.suspensions) < before
 }
 
 // DueNotices returns the notices to send now.
 func (l *Watchlist) DueNotices(now time.Time) []Notice {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []Notice
-	kept := l.outbox[:0]
-	for _, t := range l.outbox {
-		if len(out) < maxNoticesPerMessage && (t.sendCount == 0 || now.Sub(t.lastSent) >= noticeInterval) {
-			out = append(out, t.notice)
-			t.sendCount, t.lastSent = t.sendCount+1, now
-		}
-		if t.sendCount < noticeRepeats {
-			kept = append(kept, t)
-		}
-	}
-	clear(l.outbox[len(kept):])
-	l.outbox = kept
-	return out
+	return l.outbox.due(now)
 }
 
 // AddNotices applies the notices of another process.
 func (l *Watchlist) AddNotices(notices []Notice, now time.Time) {
+	if len(notices) == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, n := range notices {
 		if !n.Completed {
 			l.addInterruption(n.Fingerprint, n.Process, now)
 		} else if w, ok := l.watched[n.Fingerprint]; ok {
-			w.clearInterruptions(now)
+			w.clear(now)
 		}
 	}
+	l.updateSize()
 }
 
-// Suspensions returns the fingerprints that are suspended.
-func (l *Watchlist) Suspensions(now time.Time) []Fingerprint {
+// Suspensions returns the suspensions that are in effect.
+func (l *Watchlist) Suspensions(now time.Time) []Suspension {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []Fingerprint
-	for f, w := range l.watched {
-		if now.Before(w.suspendedUntil) {
-			out = append(out, f)
+	var out []Suspension
+	for _, s := range l.suspensions {
+		if now.Before(s.until) {
+			out = append(out, s.Suspension)
 		}
 	}
 	return out
--- a/internal/quarantine/watchlist_test.go
+++ b/internal/quarantine/watchlist_test.go
@@ -27,7 +27,7 @@
 // instance list.
 func (s *watchlistFixture) crash(f Fingerprint, n int) {
 	process := s.newProcess(n)
-	s.RecordInterruption(f, process, s.now)
+	s.RecordInterruption([]Fingerprint{f}, process, s.now)
 	s.listed[process] = false
 }
 
@@ -37,7 +37,7 @@
 }
 
 func (s *watchlistFixture) suspended(f Fingerprint) bool {
-	_, held := s.Suspended(f, s.now)
+	_, held := s.Suspended([]Fingerprint{f}, s.now)
 	return held
 }
 
@@ -65,7 +65,7 @@
 	s := newWatchlistFixture()
 	f := FingerprintOf([]byte("lookup"))
 	for n := 1; n <= 4; n++ {
-		s.RecordInterruption(f, s.newProcess(n), s.now)
+		s.RecordInterruption([]Fingerprint{f}, s.newProcess(n), s.now)
 	}
 	if got := s.advance(confirmTimeout + time.Second); len(got) > 0 || s.suspended(f) {
 		t.Errorf("request suspended after connection resets; new suspensions: %v", got)
@@ -155,7 +155,7 @@
 	s := newWatchlistFixture()
 	f := FingerprintOf([]byte("outage"))
 	for n := 1; n <= 3; n++ {
-		s.RecordInterruption(f, s.newProcess(n), s.now)
+		s.RecordInterruption([]Fingerprint{f}, s.newProcess(n), s.now)
 		s.now = s.now.Add(confirmTimeout)
 		s.Settle(s.now, time.Time{}, func(Process) bool { return true })
 	}
@@ -172,7 +172,7 @@
 func TestSuspensionEnds(t *testing.T) {
 	s := newWatchlistFixture()
 	f := FingerprintOf([]byte("late"))
-	s.AddSuspension(f, s.now)
+	s.AddSuspension(Suspension{Subjects: []Fingerprint{f}}, s.now)
 	for range 3 {
 		s.advance(SuspensionDuration - time.Second)
 		if !s.suspended(f) {
@@ -193,7 +193,7 @@
 func TestWatchlistIsBounded(t *testing.T) {
 	s := newWatchlistFixture()
 	for i := range maxWatched + 100 {
-		s.RecordInterruption(FingerprintOf([]byte(fmt.Sprint(i))), s.newProcess(1), s.now)
+		s.RecordInterruption([]Fingerprint{FingerprintOf([]byte(fmt.Sprint(i)))}, s.newProcess(1), s.now)
 	}
 	if n := s.size.Load(); n != maxWatched {
 		t.Errorf("%d fingerprints in memory; want %d", n, maxWatched)
@@ -210,3 +210,131 @@
 		t.Error("different parts have equal fingerprints")
 	}
 }
+
+// crashAll interrupts a run with the given subjects at a new upstream, which then
+// leaves the instance list, and advances the clock by a second.
+func (s *watchlistFixture) crashAll(n int, subjects ...Fingerprint) []Suspension {
+	process := s.newProcess(n)
+	s.RecordInterruption(subjects, process, s.now)
+	s.listed[process] = false
+	return s.advance(time.Second)
+}
+
+func (s *watchlistFixture) allowed(subjects ...Fingerprint) bool {
+	_, suspended := s.Suspended(subjects, s.now)
+	return !suspended
+}
+
+func request(n int) Fingerprint { return FingerprintOf([]byte(fmt.Sprint("request ", n))) }
+
+// Guards against requests that are no two alike and crash upstreams because of a part
+// that they share. Requests without the part must run.
+func TestThirdCrashSuspendsPart(t *testing.T) {
+	s := newWatchlistFixture()
+	first, bad := PartFingerprint("m", "first"), PartFingerprint("m", "bad")
+	for n := 1; n <= 3; n++ {
+		if !s.allowed(first, bad, request(n)) {
+			t.Fatalf("refused after %d crashes", n-1)
+		}
+		s.crashAll(n, first, bad, request(n))
+		s.RecordSound([]Fingerprint{first}, s.now)
+	}
+	if s.allowed(first, bad, request(9)) {
+		t.Error("a request with the part still runs")
+	}
+	if !s.allowed(first, request(9)) || !s.allowed(PartFingerprint("n", "bad"), request(9)) {
+		t.Error("a request without the part, or with the part of another model, is refused")
+	}
+}
+
+// Guards against blaming a sound part that all crashed requests share: until a run
+// shows which part is sound, only requests with all of them are refused.
+func TestPartsThatCrashTogetherAreRefusedTogether(t *testing.T) {
+	s := newWatchlistFixture()
+	first, client, bad := PartFingerprint("m", "first"), PartFingerprint("m", "client"), PartFingerprint("m", "bad")
+	for n := 1; n <= 3; n++ {
+		s.crashAll(n, first, client, bad, request(n))
+	}
+	if s.allowed(first, client, bad, request(9)) || !s.allowed(first, client, request(9)) {
+		t.Error("want requests with all parts refused, and others allowed")
+	}
+	for n := 11; n <= 12; n++ {
+		s.crashAll(n, PartFingerprint("m", "other"), bad, request(n))
+	}
+	if s.allowed(PartFingerprint("m", "other"), bad, request(19)) {
+		t.Error("the part runs although it crashed upstreams without the others")
+	}
+	if !s.allowed(first, client, request(9)) {
+		t.Error("the sound parts are refused")
+	}
+}
+
+// Guards against blaming a popular part for upstreams that end at the same moment.
+func TestSimultaneousCrashesCountOnceAgainstPart(t *testing.T) {
+	s := newWatchlistFixture()
+	first := PartFingerprint("m", "first")
+	for n := 1; n <= 6; n++ {
+		process := s.newProcess(n)
+		s.RecordInterruption([]Fingerprint{first, request(n)}, process, s.now)
+		s.listed[process] = false
+	}
+	if got := s.advance(time.Second); len(got) > 0 || !s.allowed(first, request(9)) {
+		t.Errorf("part suspended after one moment: %v", got)
+	}
+}
+
+// Guards against a part that is never tried again, and against one that crashes three
+// more upstreams each time.
+func TestPartIsTriedAgain(t *testing.T) {
+	s := newWatchlistFixture()
+	bad := PartFingerprint("m", "bad")
+	for n := 1; n <= 3; n++ {
+		s.crashAll(n, bad, request(n))
+	}
+	for range 9 {
+		s.advance(time.Minute)
+		if s.allowed(bad, request(9)) {
+			t.Fatal("the suspension ended too early")
+		}
+	}
+	s.advance(time.Minute)
+	if !s.allowed(bad, request(9)) {
+		t.Error("the part is not tried again")
+	}
+	s.crashAll(4, bad, request(9))
+	if s.allowed(bad, request(10)) {
+		t.Error("the part runs again after a crash when it was tried")
+	}
+}
+
+// Guards against a lift by the operator that the next check undoes.
+func TestLiftEndsSuspension(t *testing.T) {
+	s := newWatchlistFixture()
+	bad := PartFingerprint("m", "bad")
+	for n := 1; n <= 3; n++ {
+		s.crashAll(n, bad, request(n))
+	}
+	if !s.Lift(bad, s.now) || s.Lift(PartFingerprint("m", "other"), s.now) {
+		t.Error("Lift reports the wrong result")
+	}
+	if got := s.advance(time.Second); len(got) > 0 || !s.allowed(bad, request(9)) {
+		t.Errorf("still suspended after the lift: %v", got)
+	}
+}
+
+// Guards against a flood of interrupted requests that keeps a new part from being
+// watched.
+func TestWatchlistForgetsOldest(t *testing.T) {
+	s := newWatchlistFixture()
+	for i := range maxWatched {
+		s.RecordInterruption([]Fingerprint{request(i)}, s.newProcess(1), s.now)
+	}
+	s.now = s.now.Add(time.Second)
+	bad := PartFingerprint("m", "bad")
+	for n := 1; n <= 3; n++ {
+		s.crashAll(n, bad, request(-n))
+	}
+	if s.allowed(bad, request(-9)) {
+		t.Error("the part is not watched")
+	}
+}
