Do not pass on a stream that ended inside an event as complete

What callers would have seen: a stream whose engine went in the middle of an event, with its connection closed in order, looked complete, and the part of the event was passed on. Cause: the relay took any end of the body as the end of the stream. Change: a stream of events that ends inside an event, or without length and chunks before its first event, was broken off; the client's answer is cut, or resumed where the route allows. The end of a stream without length and chunks clears no suspicion, since a crash looks the same. Evidence: TestStreamThatEndsWithItsConnection reads from a real socket and fails in two cases on the code before; TestAnswerThatEndsWithItsConnection held already.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,6 +48,9 @@
 	// ContentLength is -1 if the length is unknown.
 	ContentLength int64
 	Body          *Body
+	// Framed reports whether the response has a length or chunks. Any other response
+	// ends with its connection, and a closed connection does not prove it whole.
+	Framed bool
 	// Reused reports whether the connection had carried earlier requests.
 	Reused bool
 }
@@ -134,6 +137,7 @@
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
 		Body:          body,
+		Framed:        body.framed,
 		Reused:        c.requestCount > 1,
 	}
 	return out, nil
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -134,6 +134,8 @@
 func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, relay *streamRelay, err error) {
 	output, began := relay.runOutput()
 	switch {
+	case err == nil && !relay.framed:
+		// The end of the connection may be that of a crashed upstream.
 	case err == nil:
 		g.recordCompletion(c, time.Now())
 		if began {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -6,10 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 )
@@ -84,7 +86,6 @@
 	if !m.gateway.allowRetry(m.call, 0) {
 		return false
 	}
-	m.relay.beginRun()
 	if id := m.relay.lastID; id != "" {
 		m.call.ResumeAfter = id
 	}
@@ -264,6 +265,7 @@
 	} else if r.resp.Status != http.StatusOK {
 		return false, errors.Errorf("engine %s refused to resume the stream with status %d", instance.ID, r.resp.Status)
 	}
+	m.relay.beginRun(r.resp)
 	m.gateway.scheduler.load.setOutputStart(u, placed.request, time.Now())
 	if p == nil {
 		m.relay.onFirstEvent = placed.finishPrefill
@@ -313,6 +315,11 @@
 	// firstWrite in a resumed stream.
 	runStart time.Time
 	events   int
+	// framed is set if the response has a length or chunks.
+	framed bool
+	// hasEvents is set if the response consists of events. Any other response is
+	// passed on as it arrives at its end.
+	hasEvents bool
 	// lastID is the ID of the last forwarded event.
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
@@ -348,11 +355,17 @@
 	s.lastID = string(bytes.TrimSpace(line))
 }
 
-// beginRun prepares the relay for the output of another run. It drops an event of
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// beginRun prepares the relay for the response of another run. It drops an event of
 // which the run before sent only a part.
-func (s *streamRelay) beginRun() {
+func (s *streamRelay) beginRun(resp *exchange.Response) {
 	s.pending = s.pending[:0]
 	s.runStart = time.Time{}
+	s.framed = resp.Framed
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	s.hasEvents = strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
 }
 
 // runOutput returns the time from the first to the last event of the current run, and
@@ -371,6 +384,10 @@
 // the end of an event would otherwise take memory until the deadline.
 const maxEventBytes = 256 << 10
 
+// errStreamTruncated is the error of a stream that its upstream broke off, although
+// the connection ended in order.
+var errStreamTruncated = errors.New("the stream was broken off")
+
 var errEventTooLong = errors.New("event of the stream exceeds the limit")
 
 var eventEnd = []byte("\n\n")
@@ -381,11 +398,11 @@
 	for {
 		n, err := body.Read(buf[:])
 		s.pending = append(s.pending, buf[:n]...)
-		if writeErr := s.writeEvents(err == io.EOF); writeErr != nil {
+		if writeErr := s.writeEvents(err == io.EOF && !s.hasEvents); writeErr != nil {
 			return errors.Wrap(errClientDisconnected, writeErr.Error())
 		}
 		if err == io.EOF {
-			return nil
+			return s.checkEnd()
 		}
 		if err != nil {
 			return errors.Wrap(err, "read stream")
@@ -396,6 +413,21 @@
 	}
 }
 
+// checkEnd returns an error if the response has ended too early, although its
+// connection ended in order.
+func (s *streamRelay) checkEnd() error {
+	switch {
+	case !s.hasEvents:
+		return nil
+	case len(s.pending) > 0:
+		return errors.Wrapf(errStreamTruncated, "after %d bytes of an event", len(s.pending))
+	case !s.framed && s.runStart.IsZero():
+		return errors.Wrap(errStreamTruncated, "before the first event")
+	default:
+		return nil
+	}
+}
+
 // writeEvents forwards all complete events that have arrived. If complete is set,
 // the response has ended and any remaining bytes are forwarded as well.
 func (s *streamRelay) writeEvents(complete bool) error {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -61,6 +61,7 @@
 	g.writeHead(w, r.resp)
 	w.WriteHeader(r.resp.Status)
 	relay := newStreamRelay(w)
+	relay.beginRun(r.resp)
 	res.abortCause = relay.copy(r.resp.Body)
 	g.recordStreamEnd(ctx, c, r.instance, relay, res.abortCause)
 	res.firstByte = relay.firstWrite
