Tell from a refused request which crashes decided it

The line of a refused request names the fingerprints and the crashed processes; before, one had to find them by the time. A suspicion that is not confirmed yet asks clients to come back in a second at least.

--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
@@ -50,31 +51,24 @@
 	return append(c.partFingerprints(), c.fingerprint())
 }
 
-// suspended reports whether the call must not be sent, and for how much longer.
-func (g *Gateway) suspended(call *Call, now time.Time) (time.Duration, bool) {
+// checkSuspended returns the refusal for a call that must not be sent because it
+// crashes upstreams, or nil. It is called before each step of a model request, because
+// the call may have waited.
+func (g *Gateway) checkSuspended(c *Call) *fault.Error {
 	if g.crashDetector.watchlist.Empty() {
-		return 0, false
+		return nil
 	}
-	return g.crashDetector.watchlist.Suspended(call.subjects(), now)
-}
-
-// checkSuspended returns the refusal for a call that must not be sent, or nil. It is
-// called before each step of a model request, because the call may have waited.
-func (g *Gateway) checkSuspended(c *Call) error {
-	if left, suspended := g.suspended(c, time.Now()); suspended {
-		return suspendedError(left)
+	refusal := g.crashDetector.watchlist.Suspended(c.subjects(), time.Now())
+	if refusal == nil {
+		return nil
 	}
-	return nil
+	return suspendedError(refusal)
 }
 
 // allowRetry takes one repeated attempt from the retry budget. It refuses calls that
 // are suspended because they crashed too many upstreams.
 func (g *Gateway) allowRetry(c *Call, reservedShare float64) bool {
-	now := time.Now()
-	if _, suspended := g.suspended(c, now); suspended {
-		return false
-	}
-	return g.retryBudget.TrySpend(c.Service.Name, now, reservedShare)
+	return g.checkSuspended(c) == nil && g.retryBudget.TrySpend(c.Service.Name, time.Now(), reservedShare)
 }
 
 // recordInterruption records that the upstream stopped running the call before its
@@ -178,6 +172,12 @@
 	g.crashDetector.watchlist.AddSuspension(s, now)
 }
 
+// LiftSuspension lets the requests with a subject run again. It reports whether the
+// subject was suspended or suspected.
+func (g *Gateway) LiftSuspension(f quarantine.Fingerprint, now time.Time) bool {
+	return g.crashDetector.watchlist.Lift(f, now)
+}
+
 // Suspended returns the suspensions that are in effect.
 func (g *Gateway) Suspended(now time.Time) []quarantine.Suspension {
 	return g.crashDetector.watchlist.Suspensions(now)
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 )
 
 // ErrNoCapacity is returned by EngineClient.Reserve if the engine has no free slot
@@ -42,9 +43,11 @@
 		WithRetryAfter(after)
 }
 
-func suspendedError(left time.Duration) *fault.Error {
-	return fault.New(fault.KindSuspended, "change the request, or send it again after Retry-After",
-		"several upstreams crashed while they ran this request").WithRetryAfter(left)
+func suspendedError(r *quarantine.Refusal) *fault.Error {
+	return fault.New(fault.KindSuspended, "change the request or its prompt, or send it again after Retry-After",
+		"several upstreams crashed while they ran this request or others with a part of its prompt").
+		WithRetryAfter(r.Left).
+		WithCause(errors.Errorf("subjects %v crashed %v, confirmed: %t", r.Subjects, r.Processes, r.Confirmed))
 }
 
 func upstreamFailedError(cause error) *fault.Error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,8 +118,8 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.Deadline.Add(-responseMargin), errDeadlineExceeded)
 	defer cancel()
 	var res outcome
-	if left, suspended := g.suspended(call, received); suspended {
-		res.err = suspendedError(left)
+	if refusal := g.checkSuspended(call); refusal != nil {
+		res.err = refusal
 		g.finish(w, r, call, res)
 		return
 	}
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -124,25 +124,30 @@
 	}
 	defer func() { m.gateway.scheduler.removeRequest(placed) }()
 	m.outcome.model.medianOutput = placed.request.load.MedianOutputTokens
-	if err := m.gateway.checkSuspended(m.call); err != nil {
-		m.gateway.releaseReservation(placed.reservation, m.call.ID)
-		placed.finishPrefill()
-		return true, err
+	if refusal := m.gateway.checkSuspended(m.call); refusal != nil {
+		m.cancelPlacement(&placed, nil)
+		return true, refusal
 	}
 	source, err := m.prefill(ctx, &placed)
-	if err == nil {
-		if err = m.gateway.checkSuspended(m.call); err != nil {
-			m.releasePrefill(source)
-			placed.finishPrefill()
-		}
-	}
 	if err != nil {
 		m.gateway.releaseReservation(placed.reservation, m.call.ID)
 		return true, err
 	}
+	if refusal := m.gateway.checkSuspended(m.call); refusal != nil {
+		m.cancelPlacement(&placed, source)
+		return true, refusal
+	}
 	return m.decode(ctx, &placed, source)
 }
 
+// cancelPlacement frees what was reserved and processed for a call that will not run.
+// source may be nil.
+func (m *modelExchange) cancelPlacement(placed *placement, source *prefillResult) {
+	m.gateway.releaseReservation(placed.reservation, m.call.ID)
+	m.releasePrefill(source)
+	placed.finishPrefill()
+}
+
 // releaseReservation frees an unused reservation in the background.
 func (g *Gateway) releaseReservation(reservation Reservation, request string) {
 	go func() {
--- a/internal/quarantine/watchlist.go
+++ b/internal/quarantine/watchlist.go
@@ -38,6 +38,8 @@
 	// SuspensionDuration is how long a request is refused after it was last
 	// received, and a prompt part after it was suspended.
 	SuspensionDuration = 10 * time.Minute
+	// minRefusal is the shortest time for which a request is refused.
+	minRefusal = time.Second
 	// watchRetention is how long a fingerprint is remembered after its last event.
 	watchRetention = 30 * time.Minute
 	// maxWatched limits the fingerprints in memory. Beyond the limit, the one with
@@ -88,6 +90,15 @@
 	return len(s.Subjects) == 1 && !s.Subjects[0].IsPart()
 }
 
+// Refusal says why a request must not run.
+type Refusal struct {
+	Suspension
+	// Left is how much longer the request must not run.
+	Left time.Duration
+	// Confirmed is false as long as some of the interruptions may not be crashes.
+	Confirmed bool
+}
+
 // NewWatchlist returns an empty watchlist.
 func NewWatchlist() *Watchlist { return &Watchlist{watched: make(map[Fingerprint]*subject)} }
 
@@ -166,9 +177,9 @@
 	return true
 }
 
-// Suspended reports whether a request with the given subjects must not run, and for
-// how much longer. It extends the suspension of a request that was received again.
-func (l *Watchlist) Suspended(subjects []Fingerprint, now time.Time) (left time.Duration, suspended bool) {
+// Suspended returns why a request with the given subjects must not run, or nil if it
+// may. It extends the suspension of a request that was received again.
+func (l *Watchlist) Suspended(subjects []Fingerprint, now time.Time) *Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.suspensions {
@@ -178,16 +189,16 @@
 		if s.extendable() {
 			s.until = now.Add(SuspensionDuration)
 		}
-		return s.until.Sub(now), true
+		return &Refusal{Suspension: s.Suspension, Left: s.until.Sub(now), Confirmed: true}
 	}
 	for _, f := range subjects {
 		w, ok := l.watched[f]
 		if ok && l.accused(f, w, subjects, now) {
-			// Some of the interruptions are not confirmed as crashes yet.
-			return max(0, w.oldestPending().Add(confirmTimeout).Sub(now)), true
+			found := Suspension{Subjects: []Fingerprint{f}, Processes: w.crashes(possibleCrash).processes()}
+			return &Refusal{Suspension: found, Left: max(minRefusal, w.oldestPending().Add(confirmTimeout).Sub(now))}
 		}
 	}
-	return 0, false
+	return nil
 }
 
 // accused reports whether a request with the given subjects must be refused because of
--- a/internal/quarantine/watchlist_test.go
+++ b/internal/quarantine/watchlist_test.go
@@ -37,8 +37,7 @@
 }
 
 func (s *watchlistFixture) suspended(f Fingerprint) bool {
-	_, held := s.Suspended([]Fingerprint{f}, s.now)
-	return held
+	return s.Suspended([]Fingerprint{f}, s.now) != nil
 }
 
 // Guards against a request that crashes one upstream after the other. It must be
@@ -221,8 +220,7 @@
 }
 
 func (s *watchlistFixture) allowed(subjects ...Fingerprint) bool {
-	_, suspended := s.Suspended(subjects, s.now)
-	return !suspended
+	return s.Suspended(subjects, s.now) == nil
 }
 
 func request(n int) Fingerprint { return FingerprintOf([]byte(fmt.Sprint("request ", n))) }
