--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -108,6 +108,7 @@
 			newTopology,
 			newGatewayList,
 			newRolePlanReader,
+			newSuspensionWriter,
 		),
 		fx.Invoke(registerGatewayMetrics, serveReady, serveGatewayAdmin, followStore, joinGateways, shareSuspensions, manageRoles, watchSettings, serveClients),
 	)
--- a/internal/app/gateway_serve.go
+++ b/internal/app/gateway_serve.go
@@ -8,11 +8,13 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/quarantine"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
@@ -30,17 +32,41 @@
 	serveHTTP(p.ReadyListener, engine, p.Logger, lc)
 }
 
-// serveGatewayAdmin serves the metrics and the state dump on the admin port.
-func serveGatewayAdmin(p GatewayProcess, t *topology, g *gateway.Gateway, m metricsRegistry, lc fx.Lifecycle) {
+// serveGatewayAdmin serves the metrics, the state dump and the lifting of suspensions on
+// the admin port.
+func serveGatewayAdmin(p GatewayProcess, t *topology, g *gateway.Gateway, w *suspensionWriter, m metricsRegistry, lc fx.Lifecycle) {
 	engine := gin.New()
 	metrics := promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
 	engine.GET("/metrics", gin.WrapH(metrics))
 	engine.GET("/debug/state", func(c *gin.Context) {
 		c.JSON(http.StatusOK, newGatewayState(p, t, g))
 	})
+	engine.POST(LiftPath+":fingerprint", func(c *gin.Context) { liftSuspension(c, w, g) })
 	serveHTTP(p.AdminListener, engine, p.Logger, lc)
 }
 
+// LiftPath is the path on a gateway's admin port, followed by a fingerprint, to which a
+// POST lets the requests with this fingerprint run again. It answers 204; 400 if the
+// fingerprint is malformed, 404 if it is not suspended, and 503 if the other gateways
+// cannot learn of it because the store is away.
+const LiftPath = "/suspensions/lift/"
+
+func liftSuspension(c *gin.Context, w *suspensionWriter, g *gateway.Gateway) {
+	var f quarantine.Fingerprint
+	if err := f.UnmarshalText([]byte(c.Param("fingerprint"))); err != nil {
+		c.String(http.StatusBadRequest, "%v", err)
+		return
+	}
+	switch err := w.lift(c, g, f); {
+	case errors.Is(err, errNotSuspended):
+		c.String(http.StatusNotFound, "%v", err)
+	case err != nil:
+		c.String(http.StatusServiceUnavailable, "%v", err)
+	default:
+		c.Status(http.StatusNoContent)
+	}
+}
+
 func serveHTTP(l net.Listener, h http.Handler, logger *log.Logger, lc fx.Lifecycle) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: adminHeaderTimeout, ErrorLog: logger.StandardLog()}
 	lc.Append(fx.Hook{
--- a/internal/app/gateway_suspensions.go
+++ b/internal/app/gateway_suspensions.go
@@ -23,6 +23,10 @@
 // that start later learn of the suspensions from these keys.
 const suspensionsPrefix = "fescueslip/suspended/"
 
+// liftedPrefix follows suspensionsPrefix in the keys of fingerprints that an operator
+// has let run again. The rest of the key is the fingerprint.
+const liftedPrefix = "lifted/"
+
 const (
 	// suspensionWriteTimeout limits one attempt to write a suspension.
 	suspensionWriteTimeout = 2 * time.Second
@@ -62,15 +66,19 @@
 	return quarantine.FingerprintOf(parts...).String()
 }
 
+func newSuspensionWriter(p GatewayProcess) *suspensionWriter {
+	return &suspensionWriter{ownName: p.Settings.Instance, store: p.Adapter.Presence, log: p.Logger}
+}
+
 // shareSuspensions writes this gateway's own suspensions to the store.
-func shareSuspensions(p GatewayProcess, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
-	w := suspensionWriter{ownName: p.Settings.Instance, store: p.Adapter.Presence, log: p.Logger}
+func shareSuspensions(w *suspensionWriter, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
 	lc.Append(fx.StartHook(func() {
 		b.run("suspensions", func(ctx context.Context) error { return w.run(ctx, g.Suspensions()) })
 	}))
 }
 
-// suspensionWriter writes the suspensions that this gateway found to the store.
+// suspensionWriter writes the suspensions that this gateway found, and the lifts that an
+// operator asked it for, to the store.
 type suspensionWriter struct {
 	ownName string
 	store   presence.Store
@@ -120,7 +128,23 @@
 	return w.store.Put(ctx, key, value, lease)
 }
 
-// suspensionReader applies the suspensions that other gateways stored.
+// errNotSuspended is the error of a lift of a fingerprint that is not suspended.
+var errNotSuspended = errors.New("no request is suspended because of this fingerprint; /debug/state lists the suspensions")
+
+// lift lets the requests with a fingerprint run again, here at once and at the other
+// gateways as soon as they have read it from the store.
+func (w *suspensionWriter) lift(ctx context.Context, g *gateway.Gateway, f quarantine.Fingerprint) error {
+	if !g.LiftSuspension(f, time.Now()) {
+		return errNotSuspended
+	}
+	if err := w.put(ctx, suspensionsPrefix+liftedPrefix+f.String(), []byte(`{"by":"`+w.ownName+`"}`)); err != nil {
+		return errors.Wrap(err, "lifted here only; repeat the command when the store can be reached")
+	}
+	w.log.Info("suspension lifted by an operator", "subject", f)
+	return nil
+}
+
+// suspensionReader applies the suspensions that other gateways stored, and the lifts.
 type suspensionReader struct {
 	gateway *gateway.Gateway
 	log     *log.Logger
@@ -128,23 +152,24 @@
 	appliedRevisions map[string]uint64
 }
 
-// apply suspends the requests whose suspensions in the view were not applied yet, and
-// forgets those that are no longer in the view.
+// apply suspends the requests whose suspensions in the view were not applied yet,
+// lifts what operators have lifted since, and forgets keys that are no longer in the
+// view.
 func (r *suspensionReader) apply(view mirror.View) {
+	lifts := r.applyLifts(view)
 	for key, entry := range view.Entries {
 		name, ok := strings.CutPrefix(key, suspensionsPrefix)
-		if !ok || r.appliedRevisions[key] == entry.Revision {
+		if !ok || strings.HasPrefix(name, liftedPrefix) || !r.isNew(key, entry.Revision) {
 			continue
 		}
-		if r.appliedRevisions == nil {
-			r.appliedRevisions = make(map[string]uint64)
-		}
-		r.appliedRevisions[key] = entry.Revision
 		suspension, err := readSuspension(name, entry.Value)
 		if err != nil {
 			r.log.Warn("suspension cannot be decoded; ignoring it", "key", key, "store_revision", entry.Revision, "err", err)
 			continue
 		}
+		if lifts.after(suspension, entry.Revision) {
+			continue
+		}
 		r.gateway.Suspend(suspension, time.Now())
 		r.log.Info("request suspended because another gateway stored its suspension", "subjects", suspension.Subjects, "store_revision", entry.Revision)
 	}
@@ -155,6 +180,56 @@
 	}
 }
 
+// isNew reports whether the revision of the key was not applied yet, and records it.
+func (r *suspensionReader) isNew(key string, revision uint64) bool {
+	if r.appliedRevisions[key] == revision {
+		return false
+	}
+	if r.appliedRevisions == nil {
+		r.appliedRevisions = make(map[string]uint64)
+	}
+	r.appliedRevisions[key] = revision
+	return true
+}
+
+// liftRevisions maps fingerprints that operators have lifted to the store revisions of
+// the lifts.
+type liftRevisions map[quarantine.Fingerprint]uint64
+
+// after reports whether a subject of a suspension was lifted after the revision.
+func (l liftRevisions) after(s quarantine.Suspension, revision uint64) bool {
+	for _, f := range s.Subjects {
+		if l[f] > revision {
+			return true
+		}
+	}
+	return false
+}
+
+// applyLifts applies the lifts in the view that were not applied yet, and returns all
+// lifts in the view.
+func (r *suspensionReader) applyLifts(view mirror.View) liftRevisions {
+	lifts := make(liftRevisions)
+	for key, entry := range view.Entries {
+		name, ok := strings.CutPrefix(key, suspensionsPrefix+liftedPrefix)
+		if !ok {
+			continue
+		}
+		var f quarantine.Fingerprint
+		if err := f.UnmarshalText([]byte(name)); err != nil {
+			if r.isNew(key, entry.Revision) {
+				r.log.Warn("lift of a suspension names no fingerprint; ignoring it", "key", key, "err", err)
+			}
+			continue
+		}
+		lifts[f] = entry.Revision
+		if r.isNew(key, entry.Revision) && r.gateway.LiftSuspension(f, time.Now()) {
+			r.log.Info("suspension lifted by an operator at another gateway", "subject", f, "store_revision", entry.Revision)
+		}
+	}
+	return lifts
+}
+
 // readSuspension decodes a suspension. name is the last part of its key.
 func readSuspension(name string, value []byte) (quarantine.Suspension, error) {
 	var entry suspensionEntry
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -15,7 +15,8 @@
 
 type quarantineCommand struct {
 	storeFlags
-	lift string
+	lift    string
+	gateway string
 }
 
 // Quarantine returns the command that lists quarantined requests and lifts
@@ -34,11 +35,13 @@
 
 // Usage implements subcommands.Command.
 func (*quarantineCommand) Usage() string {
-	return `quarantine (-kv URL | -config FILE) [-json] [-lift FINGERPRINT]
+	return `quarantine (-kv URL | -config FILE | -gateway ADMIN) [-json] [-lift FINGERPRINT]
   Lists each fingerprint with the upstreams that crashed while they ran it; two
   upstreams mean that it is refused. -lift removes one. The sidecars whose engines
   crashed remember the request for an hour, or until they restart; until then it
-  is quarantined again when it is sent. Exit code 1 when the fingerprint is not
+  is quarantined again when it is sent. With -gateway, the admin address of any
+  gateway: lists the suspensions in force there, and -lift lets the requests with
+  a fingerprint run again at all gateways. Exit code 1 when the fingerprint is not
   on record.
 `
 }
@@ -47,10 +50,14 @@
 func (c *quarantineCommand) SetFlags(f *flag.FlagSet) {
 	c.storeFlags.SetFlags(f)
 	f.StringVar(&c.lift, "lift", "", "fingerprint to remove")
+	f.StringVar(&c.gateway, "gateway", "", "admin address of a gateway, host:port")
 }
 
 // Execute implements subcommands.Command.
 func (c *quarantineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.gateway != "" {
+		return c.executeAtGateway(ctx)
+	}
 	if err := c.resolveURLs(); err != nil {
 		return c.reportError(err)
 	}
--- a/internal/quarantine/watchlist.go
+++ b/internal/quarantine/watchlist.go
@@ -330,16 +330,26 @@
 	l.updateSize()
 }
 
-// Lift ends all suspensions that include the fingerprint and clears its crashes. It
-// reports whether there were any.
+// Lift ends all suspensions that include the fingerprint. It clears the crashes of the
+// fingerprint and of the subjects that crashed together with it, which would be
+// suspended in its place. It reports whether the fingerprint was suspended or suspected.
 func (l *Watchlist) Lift(f Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := len(l.suspensions)
 	l.suspensions = slices.DeleteFunc(l.suspensions, func(s *activeSuspension) bool { return slices.Contains(s.Subjects, f) })
-	cleared := l.clear(f, now)
+	lifted := len(l.suspensions) < before
+	if w, ok := l.watched[f]; ok {
+		crashes := w.crashes(possibleCrash)
+		for other, o := range l.watched {
+			if len(crashes) > 0 && o.crashes(possibleCrash).containsAll(crashes) {
+				l.clear(other, now)
+				lifted = true
+			}
+		}
+	}
 	l.updateSize()
-	return cleared || len(l.suspensions) < before
+	return lifted
 }
 
 // DueNotices returns the notices to send now.
--- a/internal/quarantine/watchlist_test.go
+++ b/internal/quarantine/watchlist_test.go
@@ -308,14 +308,14 @@
 // Guards against a lift by the operator that the next check undoes.
 func TestLiftEndsSuspension(t *testing.T) {
 	s := newWatchlistFixture()
-	bad := PartFingerprint("m", "bad")
+	first, bad := PartFingerprint("m", "first"), PartFingerprint("m", "bad")
 	for n := 1; n <= 3; n++ {
-		s.crashAll(n, bad, request(n))
+		s.crashAll(n, first, bad, request(n))
 	}
 	if !s.Lift(bad, s.now) || s.Lift(PartFingerprint("m", "other"), s.now) {
 		t.Error("Lift reports the wrong result")
 	}
-	if got := s.advance(time.Second); len(got) > 0 || !s.allowed(bad, request(9)) {
+	if got := s.advance(time.Second); len(got) > 0 || !s.allowed(first, bad, request(9)) {
 		t.Errorf("still suspended after the lift: %v", got)
 	}
 }
