Read the limit that an upstream names, and show it

The adapter reads it, a change of it leaves a log line, and it stands in the state dump and in fescueslip_gateway_limited_upstreams. A limit ends with an answer without it a second after the last that named it. No decision changes.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -133,10 +133,11 @@
 		value       func() int64
 		description string
 	}{
-		"fescueslip_gateway_in_flight":      {g.InFlight, "Requests in progress."},
-		"fescueslip_gateway_config_version": {func() int64 { return int64(configVersion(t.tables)) }, "Version of the configuration in force."},
-		"fescueslip_gateway_upstreams":      {func() int64 { return int64(t.fleet.Snapshot().Len()) }, "Upstreams on the list."},
-		"fescueslip_gateway_connections":    {p.Pool.OpenedTotal, "Connections opened to upstreams and the store since the start."},
+		"fescueslip_gateway_in_flight":         {g.InFlight, "Requests in progress."},
+		"fescueslip_gateway_config_version":    {func() int64 { return int64(configVersion(t.tables)) }, "Version of the configuration in force."},
+		"fescueslip_gateway_upstreams":         {func() int64 { return int64(t.fleet.Snapshot().Len()) }, "Upstreams on the list."},
+		"fescueslip_gateway_limited_upstreams": {func() int64 { return countLimited(t.fleet.Snapshot()) }, "Upstreams that name a limit on their requests."},
+		"fescueslip_gateway_connections":       {p.Pool.OpenedTotal, "Connections opened to upstreams and the store since the start."},
 	}
 	if p.LogDropped != nil {
 		gauges["fescueslip_gateway_log_dropped"] = struct {
@@ -153,6 +154,17 @@
 	return nil
 }
 
+// countLimited returns the number of upstreams that name a limit on their requests.
+func countLimited(s *fleet.Snapshot) int64 {
+	var n int64
+	for _, u := range s.All() {
+		if _, limited := u.Limit(); limited {
+			n++
+		}
+	}
+	return n
+}
+
 func newTopology(tables *routing.Holder, f *fleet.Fleet) *topology {
 	return &topology{tables: tables, fleet: f}
 }
--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -37,6 +37,9 @@
 	FailureShare  float64 `json:"failure_share"`
 	LatencyMs     float64 `json:"latency_ms"`
 	Avoid         bool    `json:"avoid"`
+	// LimitPerS is the limit that the upstream named on the requests of all gateways,
+	// in requests a second. It is missing if there is none.
+	LimitPerS *float64 `json:"limit_per_s,omitempty"`
 	// StreamSlowdown and PrefillSlowdown say how much longer the engine takes than
 	// its service; 1 means no deviation.
 	StreamSlowdown  float64 `json:"stream_slowdown"`
@@ -101,8 +104,13 @@
 	for _, u := range snapshot.All() {
 		instance, health := u.Instance(), u.Health(now)
 		stream, prefill := g.EngineSlowdown(u)
+		var limit *float64
+		if perSecond, limited := u.Limit(); limited {
+			limit = &perSecond
+		}
 		state.Upstreams = append(state.Upstreams, upstreamStatus{
-			ID: instance.ID, Service: instance.Service, Address: instance.Address, Role: instance.Role.String(), Leaving: instance.Leaving,
+			LimitPerS: limit,
+			ID:        instance.ID, Service: instance.Service, Address: instance.Address, Role: instance.Role.String(), Leaving: instance.Leaving,
 			InFlight: u.InFlight.Load(), PrefillTokens: u.PrefillTokens.Load(),
 			FailureShare: health.FailureShare, LatencyMs: health.LatencyMs, Avoid: health.Avoid,
 			StreamSlowdown: stream, PrefillSlowdown: prefill,
--- /dev/null
+++ b/internal/fleet/limit.go
@@ -0,0 +1,54 @@
+package fleet
+
+import "time"
+
+// limitReleaseDelay is how long after its last mention a limit still applies. Answers
+// on different connections overtake each other, so one without the limit may be older
+// than one with it.
+const limitReleaseDelay = time.Second
+
+// namedLimit is the limit that an upstream named last.
+type namedLimit struct {
+	// perSecond is the number of requests a second that the upstream takes from all
+	// gateways together.
+	perSecond float64
+	// namedAt is the time of the last answer that named a limit; zero if none is in
+	// force.
+	namedAt time.Time
+	// invalid means that the upstream has named a limit that cannot be read.
+	invalid bool
+}
+
+// RecordLimit records whether an answer of the upstream names a limit on the requests
+// of all gateways, and which. It reports whether the limit in force has changed.
+func (u *Upstream) RecordLimit(perSecond float64, named bool, now time.Time) (changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if named {
+		changed = u.limit.namedAt.IsZero() || u.limit.perSecond != perSecond
+		u.limit = namedLimit{perSecond: perSecond, namedAt: now}
+		return changed
+	}
+	if u.limit.namedAt.IsZero() || now.Sub(u.limit.namedAt) < limitReleaseDelay {
+		return false
+	}
+	u.limit = namedLimit{}
+	return true
+}
+
+// RecordInvalidLimit records that the upstream named a limit that cannot be read. It
+// reports whether this is the first since the limit in force changed.
+func (u *Upstream) RecordInvalidLimit() (first bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	first = !u.limit.invalid
+	u.limit.invalid = true
+	return first
+}
+
+// Limit returns the limit in force, in requests a second, and whether there is one.
+func (u *Upstream) Limit() (perSecond float64, limited bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limit.perSecond, !u.limit.namedAt.IsZero()
+}
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -43,6 +43,8 @@
 	pausedUntil time.Time
 	// refusalStreak is the number of consecutive refused requests.
 	refusalStreak int
+	// limit is the limit on the requests of all gateways that the upstream named.
+	limit namedLimit
 }
 
 // Instance returns the latest description of the instance from the list.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -126,6 +126,10 @@
 	EchoHeader() string
 	// ClassifyResponse determines the class of a response.
 	ClassifyResponse(status int, h http.Header) ResponseClass
+	// RateLimit returns the limit on the requests of all gateways that an upstream
+	// names in its response, in requests a second, and whether it names one. The error
+	// describes a value that cannot be read and is ignored.
+	RateLimit(h http.Header) (perSecond float64, named bool, err error)
 	// FormatRetryAfter returns the value of the Retry-After header.
 	FormatRetryAfter(d time.Duration) string
 }
