Keep the limit that an upstream names, over all gateways together

Callers saw nothing. Cause: nothing read the limit; placement weighs load, latency and failures only. Change: each gateway takes an even part of a named limit, so the sum holds whichever of them are cut off, frozen or silent. internal/policy/pace is the arithmetic, with the time passed in: requests are evenly spaced; where there are more gateways than the limit has requests in a second, each has slots of its own, which pass unused, because saved requests of all would come at once. Requests, retries, hedges, prompts and reservations count. The rest goes to other upstreams; if all have limits, a request waits while it can still be in time, else it is refused at once with the time of the next place.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fescueslip/fescueslip/internal/policy/pace"
+)
 
 // limitReleaseDelay is how long after its last mention a limit still applies. Answers
 // on different connections overtake each other, so one without the limit may be older
@@ -15,6 +20,8 @@
 	// namedAt is the time of the last answer that named a limit; zero if none is in
 	// force.
 	namedAt time.Time
+	// pace spreads this gateway's part of the limit over time.
+	pace pace.Pace
 	// invalid means that the upstream has named a limit that cannot be read.
 	invalid bool
 }
@@ -26,7 +33,7 @@
 	defer u.mu.Unlock()
 	if named {
 		changed = u.limit.namedAt.IsZero() || u.limit.perSecond != perSecond
-		u.limit = namedLimit{perSecond: perSecond, namedAt: now}
+		u.limit.perSecond, u.limit.namedAt = perSecond, now
 		return changed
 	}
 	if u.limit.namedAt.IsZero() || now.Sub(u.limit.namedAt) < limitReleaseDelay {
@@ -52,3 +59,36 @@
 	defer u.mu.Unlock()
 	return u.limit.perSecond, !u.limit.namedAt.IsZero()
 }
+
+// LimitWait returns how long this process must wait before it may send the upstream a
+// request: 0 if it may send one now. gateways is the number of processes that share the
+// limit.
+func (u *Upstream) LimitWait(gateways int, now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limitWait(gateways, now)
+}
+
+// limitWait is LimitWait. The caller holds u.mu.
+func (u *Upstream) limitWait(gateways int, now time.Time) time.Duration {
+	if u.limit.namedAt.IsZero() {
+		return 0
+	}
+	u.limit.pace.Set(pace.ShareOf(u.limit.perSecond, gateways), rand.Float64(), now)
+	return u.limit.pace.Wait(now)
+}
+
+// TakeLimit reports whether this process may send the upstream a request that consists
+// of the given number of calls, and if so counts it.
+func (u *Upstream) TakeLimit(calls, gateways int, now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit.namedAt.IsZero() {
+		return true
+	}
+	if u.limitWait(gateways, now) > 0 {
+		return false
+	}
+	u.limit.pace.Take(calls, now)
+	return true
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -153,7 +153,7 @@
 			continue
 		}
 		h := u.Health(now)
-		if h.Paused || h.Avoid || h.Full {
+		if h.Paused || h.Avoid || h.Full || !s.limitAllows(u, now) {
 			continue
 		}
 		state := s.load.prefillState(u, now)
@@ -187,7 +187,7 @@
 			continue
 		}
 		h := u.Health(now)
-		if h.Avoid || h.Full || h.Paused {
+		if h.Avoid || h.Full || h.Paused || !s.limitAllows(u, now) {
 			continue
 		}
 		if prefill == nil && s.hasPrefillBacklog(u, now) {
@@ -265,6 +265,7 @@
 // in the background. The caller holds s.mu.
 func (s *scheduler) startReservation(ctx context.Context, w *waitingRequest, u *fleet.Upstream, choice prefillChoice, now time.Time) {
 	w.attempts++
+	s.takeLimits(u, choice.engine, now)
 	firstEvent := s.load.speedOf(w.call.Service.Name).FirstEventDelay
 	prefill := choice.wait + choice.prompt
 	placed := placement{
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -14,6 +14,7 @@
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/policy/place"
+	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -105,6 +106,9 @@
 	unsent     int
 	mayHaveRun bool
 	refused    bool
+	// limitWait is the time after which an upstream takes the call whose limit forbade
+	// the last attempt, or 0 if no limit did.
+	limitWait time.Duration
 }
 
 // serve returns the result to forward, or the last failure. It returns nil if no
@@ -112,7 +116,7 @@
 func (p *plainExchange) serve(ctx context.Context) *attemptResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if !p.startAttempt(ctx) {
+	if !p.startFirst(ctx) {
 		return nil
 	}
 	var fallback *attemptResult
@@ -176,9 +180,22 @@
 		"may_have_run", r.mayHaveRun, "ms", r.duration.Milliseconds(), "cause", cause)
 }
 
+// startFirst starts the first attempt. If the limits of the upstreams forbid it now, it
+// waits for them as long as the response can still be in time.
+func (p *plainExchange) startFirst(ctx context.Context) bool {
+	for !p.startAttempt(ctx) {
+		if p.limitWait == 0 || time.Now().Add(p.limitWait).After(p.call.limitDeadline()) || !wait.For(ctx, p.limitWait) {
+			return false
+		}
+	}
+	return true
+}
+
 // startAttempt sends the call to the best upstream that has not been tried yet.
 func (p *plainExchange) startAttempt(ctx context.Context) bool {
-	u := p.gateway.choosePlain(p.call.Service.Name, p.tried)
+	choice := p.gateway.choosePlain(p.call.Service.Name, p.tried)
+	p.limitWait = choice.wait
+	u := choice.upstream
 	if u == nil {
 		return false
 	}
@@ -215,6 +232,9 @@
 		}
 		return upstreamFailedError(cause)
 	}
+	if p.limitWait > 0 {
+		return limitedError(p.limitWait)
+	}
 	if p.refused {
 		return overloadedError(overloadRetryAfter(), "every upstream of the service is full")
 	}
@@ -228,16 +248,32 @@
 	return time.Duration(minMillis+rand.IntN(spreadMillis)) * time.Millisecond
 }
 
-// choosePlain returns the upstream with the lowest cost that has not been tried, or
-// nil if there is none.
-func (g *Gateway) choosePlain(service string, tried []*fleet.Upstream) *fleet.Upstream {
+// plainChoice is the result of choosePlain.
+type plainChoice struct {
+	// upstream is the selected upstream, or nil if there is none.
+	upstream *fleet.Upstream
+	// wait is the time until an upstream takes a request that its limit forbids now, or
+	// 0 if no limit stands in the way.
+	wait time.Duration
+}
+
+// choosePlain selects the upstream with the lowest cost that has not been tried, and
+// counts the request against its limit.
+func (g *Gateway) choosePlain(service string, tried []*fleet.Upstream) plainChoice {
 	now := time.Now()
 	ups := g.Fleet.Snapshot().Service(service)
+	gateways := g.RecentGateways()
 	var buf [16]place.Candidate
 	candidates := buf[:0]
+	var choice plainChoice
 	for _, u := range ups {
 		h := u.Health(now)
 		f := u.Instance()
+		excluded := !u.Usable() || contains(tried, u)
+		if wait := u.LimitWait(gateways, now); !excluded && wait > 0 {
+			excluded = true
+			choice.wait = shorter(choice.wait, wait)
+		}
 		candidates = append(candidates, place.Candidate{
 			InFlight:     float64(u.InFlight.Load()),
 			Slots:        f.Slots,
@@ -245,13 +281,29 @@
 			FailureShare: h.FailureShare,
 			SameDomain:   f.FailureDomain == g.FailureDomain,
 			Avoid:        h.Avoid || h.Full,
-			Excluded:     !u.Usable() || contains(tried, u),
+			Excluded:     excluded,
 		})
 	}
-	if i := place.Select(candidates, rand.Float64()); i >= 0 {
-		return ups[i]
+	for {
+		i := place.Select(candidates, rand.Float64())
+		if i < 0 {
+			return choice
+		}
+		if ups[i].TakeLimit(1, gateways, now) {
+			return plainChoice{upstream: ups[i]}
+		}
+		// Another request was faster.
+		candidates[i].Excluded = true
+		choice.wait = shorter(choice.wait, ups[i].LimitWait(gateways, now))
 	}
-	return nil
+}
+
+// shorter returns the shorter of two waits, of which 0 means none.
+func shorter(a, b time.Duration) time.Duration {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
 }
 
 func contains(list []*fleet.Upstream, u *fleet.Upstream) bool {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -18,7 +18,12 @@
 	var res outcome
 	var tried []*fleet.Upstream
 	for {
-		u := g.choosePlain(c.Service.Name, tried)
+		choice := g.choosePlain(c.Service.Name, tried)
+		u := choice.upstream
+		if u == nil && choice.wait > 0 {
+			res.err = limitedError(choice.wait)
+			return res
+		}
 		if u == nil {
 			res.err = overloadedError(overloadRetryAfter(), "no upstream took the request")
 			return res
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -1,12 +1,55 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/fescueslip/fescueslip/internal/exchange"
+	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 )
 
+const (
+	// prefillCalls and decodeCalls are the calls of a model request that reach a prefill
+	// engine, and a decode engine: a reservation and the request.
+	prefillCalls = 1
+	decodeCalls  = 2
+	// limitedShare is the part of the latency target for which a request waits for an
+	// upstream with a limit. The rest is left for the work.
+	limitedShare = 0.5
+)
+
+// limitDeadline returns the time until which the call waits for an upstream with a limit.
+func (c *Call) limitDeadline() time.Time {
+	target := c.Deadline.Sub(c.Received)
+	if t := c.Route.LatencyTarget; t > 0 {
+		target = min(target, t)
+	}
+	return c.Received.Add(time.Duration(limitedShare * float64(target)))
+}
+
+// limitedError refuses a call that all upstreams of its service forbid by their limits.
+// wait is the time until one of them takes a call of this gateway; the random part
+// spreads those that come back.
+func limitedError(wait time.Duration) *fault.Error {
+	after := wait + time.Duration(rand.Float64()*float64(wait))
+	return overloadedError(max(after, overloadRetryAfter()), "the upstreams of the service have limited their requests")
+}
+
+// limitAllows reports whether the limit of the engine allows a request now.
+func (s *scheduler) limitAllows(u *fleet.Upstream, now time.Time) bool {
+	return u.LimitWait(s.gateway.RecentGateways(), now) == 0
+}
+
+// takeLimits counts the calls of a placed request against the limits of its engines.
+func (s *scheduler) takeLimits(decode, prefill *fleet.Upstream, now time.Time) {
+	gateways := s.gateway.RecentGateways()
+	decode.TakeLimit(decodeCalls, gateways, now)
+	if prefill != decode {
+		prefill.TakeLimit(prefillCalls, gateways, now)
+	}
+}
+
 // recordLimit records the limit that an upstream names in its response, or that it
 // names none. A response of another instance says nothing about the upstream.
 func (g *Gateway) recordLimit(u *fleet.Upstream, instance *fleet.Instance, resp *exchange.Response, class ResponseClass) {
