Tell other gateways the limits that upstreams name

A gateway that no upstream had answered yet sent all that its clients sent: 20 of 20 requests at once to a server that takes 2 a second (TestLimitIsToldToOtherGateways, without the report).

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -20,6 +20,8 @@
 	// namedAt is the time of the last answer that named a limit; zero if none is in
 	// force.
 	namedAt time.Time
+	// endedAt is the time of the answer that ended the last limit.
+	endedAt time.Time
 	// pace spreads this gateway's part of the limit over time.
 	pace pace.Pace
 	// invalid means that the upstream has named a limit that cannot be read.
@@ -39,10 +41,23 @@
 	if u.limit.namedAt.IsZero() || now.Sub(u.limit.namedAt) < limitReleaseDelay {
 		return false
 	}
-	u.limit = namedLimit{}
+	u.limit = namedLimit{endedAt: now}
 	return true
 }
 
+// RecordReportedLimit records a limit that the upstream named to another process at the
+// given time. It reports whether the limit in force has changed.
+func (u *Upstream) RecordReportedLimit(perSecond float64, namedAt time.Time) (changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !namedAt.After(u.limit.namedAt) || !namedAt.After(u.limit.endedAt) {
+		return false
+	}
+	changed = u.limit.namedAt.IsZero() || u.limit.perSecond != perSecond
+	u.limit.perSecond, u.limit.namedAt = perSecond, namedAt
+	return changed
+}
+
 // RecordInvalidLimit records that the upstream named a limit that cannot be read. It
 // reports whether this is the first since the limit in force changed.
 func (u *Upstream) RecordInvalidLimit() (first bool) {
@@ -60,6 +75,14 @@
 	return u.limit.perSecond, !u.limit.namedAt.IsZero()
 }
 
+// NamedLimit returns the limit in force, in requests a second, when the upstream named it
+// last, and whether there is one.
+func (u *Upstream) NamedLimit() (perSecond float64, namedAt time.Time, limited bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limit.perSecond, u.limit.namedAt, !u.limit.namedAt.IsZero()
+}
+
 // LimitWait returns how long this process must wait before it may send the upstream a
 // request: 0 if it may send one now. gateways is the number of processes that share the
 // limit.
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -57,6 +57,18 @@
 	// Services reports what the sender measured of the model services. It is empty
 	// in a partial state.
 	Services []ServiceReport
+	// Limits lists the limits that upstreams named.
+	Limits []LimitReport
+}
+
+// LimitReport is a limit that an upstream named on the requests of all gateways.
+type LimitReport struct {
+	ID          string
+	Incarnation int64
+	// PerSecond is the limit in requests a second.
+	PerSecond float64
+	// NamedAt is the time at which the upstream named it last.
+	NamedAt time.Time
 }
 
 // localRequest is a request that this gateway placed on a decode engine.
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -30,6 +30,7 @@
 		QueueHead:     head,
 		Engines:       g.scheduler.load.localState(g.Fleet.Snapshot(), onlyChanged, now),
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
+		Limits:        g.limitReports(),
 	}
 	if !onlyChanged {
 		state.Services = g.serviceReports()
@@ -55,6 +56,7 @@
 	}
 	g.demandEstimator.applyReports(peer, s.Services)
 	g.crashDetector.watchlist.AddNotices(s.CrashNotices, now)
+	g.applyLimitReports(s.Limits)
 	for _, e := range s.Engines {
 		if e.RoleChangeRemaining > 0 {
 			g.applyRoleChange(e, now)
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,31 @@
 	limitedShare = 0.5
 )
 
+// limitReports returns the limits in force, for the other gateways.
+func (g *Gateway) limitReports() []LimitReport {
+	var reports []LimitReport
+	for _, u := range g.Fleet.Snapshot().All() {
+		if perSecond, namedAt, limited := u.NamedLimit(); limited {
+			instance := u.Instance()
+			reports = append(reports, LimitReport{ID: instance.ID, Incarnation: instance.Incarnation, PerSecond: perSecond, NamedAt: namedAt})
+		}
+	}
+	return reports
+}
+
+// applyLimitReports puts limits in force that upstreams named to another gateway.
+func (g *Gateway) applyLimitReports(reports []LimitReport) {
+	for _, r := range reports {
+		u := g.Fleet.Snapshot().Find(r.ID, r.Incarnation)
+		if u == nil || math.IsNaN(r.PerSecond) || r.PerSecond < 0 {
+			continue
+		}
+		if u.RecordReportedLimit(r.PerSecond, r.NamedAt) {
+			g.Logger.Info("upstream named a limit to another gateway", "upstream", r.ID, "requests_per_s", r.PerSecond)
+		}
+	}
+}
+
 // limitDeadline returns the time until which the call waits for an upstream with a limit.
 func (c *Call) limitDeadline() time.Time {
 	target := c.Deadline.Sub(c.Received)
@@ -66,6 +92,7 @@
 	if !u.RecordLimit(perSecond, named, time.Now()) {
 		return
 	}
+	g.announce()
 	if !named {
 		g.Logger.Info("upstream names no limit any more", "upstream", instance.ID, "service", instance.Service)
 		return
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -73,7 +73,8 @@
 	b = appendNotices(b, m.state.CrashNotices)
 	b = appendQueueHead(b, m.state.QueueHead, now)
 	b = appendServices(b, m.state.Services)
-	return appendPrefillCounts(b, m.state.Engines)
+	b = appendPrefillCounts(b, m.state.Engines)
+	return appendLimits(b, m.state.Limits, now)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -210,6 +211,7 @@
 	m.state.QueueHead = r.queueHead(now)
 	m.state.Services = r.services()
 	r.prefillCounts(m.state.Engines)
+	m.state.Limits = r.limits(now)
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
