--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -157,11 +157,11 @@
 // countLimited returns the number of upstreams that name a limit on their requests.
 func countLimited(s *fleet.Snapshot) int64 {
 	var n int64
-	for _, u := range s.All() {
-		if _, limited := u.Limit(); limited {
+	s.Each(func(u *fleet.Upstream) {
+		if _, _, limited := u.Limit(); limited {
 			n++
 		}
-	}
+	})
 	return n
 }
 
--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -105,7 +105,7 @@
 		instance, health := u.Instance(), u.Health(now)
 		stream, prefill := g.EngineSlowdown(u)
 		var limit *float64
-		if perSecond, limited := u.Limit(); limited {
+		if perSecond, _, limited := u.Limit(); limited {
 			limit = &perSecond
 		}
 		state.Upstreams = append(state.Upstreams, upstreamStatus{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,13 @@
 	return out
 }
 
+// Each calls f for all upstreams, in no particular order.
+func (s *Snapshot) Each(f func(*Upstream)) {
+	for _, u := range s.byKey {
+		f(u)
+	}
+}
+
 // Change lists the instances that one call of Replace added, removed, or found
 // to be leaving.
 type Change struct {
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -68,16 +68,9 @@
 	return first
 }
 
-// Limit returns the limit in force, in requests a second, and whether there is one.
-func (u *Upstream) Limit() (perSecond float64, limited bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.limit.perSecond, !u.limit.namedAt.IsZero()
-}
-
-// NamedLimit returns the limit in force, in requests a second, when the upstream named it
+// Limit returns the limit in force, in requests a second, when the upstream named it
 // last, and whether there is one.
-func (u *Upstream) NamedLimit() (perSecond float64, namedAt time.Time, limited bool) {
+func (u *Upstream) Limit() (perSecond float64, namedAt time.Time, limited bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.limit.perSecond, u.limit.namedAt, !u.limit.namedAt.IsZero()
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -23,12 +23,12 @@
 // limitReports returns the limits in force, for the other gateways.
 func (g *Gateway) limitReports() []LimitReport {
 	var reports []LimitReport
-	for _, u := range g.Fleet.Snapshot().All() {
-		if perSecond, namedAt, limited := u.NamedLimit(); limited {
+	g.Fleet.Snapshot().Each(func(u *fleet.Upstream) {
+		if perSecond, namedAt, limited := u.Limit(); limited {
 			instance := u.Instance()
 			reports = append(reports, LimitReport{ID: instance.ID, Incarnation: instance.Incarnation, PerSecond: perSecond, NamedAt: namedAt})
 		}
-	}
+	})
 	return reports
 }
 
