--- /dev/null
+++ b/internal/gateway/streamrelay.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/exchange"
+)
+
+// streamRelay forwards a stream of events to the client and never splits an event.
+type streamRelay struct {
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	pending []byte
+	// firstWrite and lastWrite are the times of the first and the last event.
+	firstWrite, lastWrite time.Time
+	// runStart is the time of the first event of the current run. It differs from
+	// firstWrite in a resumed stream.
+	runStart time.Time
+	events   int
+	// framed is set if the response has a length or chunks.
+	framed bool
+	// hasEvents is set if the response consists of events. Any other response is
+	// passed on as it arrives at its end.
+	hasEvents bool
+	// lastID is the ID of the last forwarded event.
+	lastID string
+	// onFirstEvent, if set, is called before the first event is forwarded.
+	onFirstEvent func()
+	// onSound, if set, is called once in a run, when its output has lasted for
+	// soundOutput.
+	onSound func()
+}
+
+func newStreamRelay(w http.ResponseWriter) *streamRelay {
+	return &streamRelay{w: w, flush: http.NewResponseController(w)}
+}
+
+// firstEventDelay returns the time from began to the first write to the client, or 0
+// if nothing was written. It is negative if the first write was made before began,
+// from the stream of an earlier attempt.
+func (s *streamRelay) firstEventDelay(began time.Time) time.Duration {
+	if s.firstWrite.IsZero() {
+		return 0
+	}
+	return s.firstWrite.Sub(began)
+}
+
+var idField = []byte("id:")
+
+// updateLastID stores the ID of the last event in events.
+func (s *streamRelay) updateLastID(events []byte) {
+	i := bytes.LastIndex(events, idField)
+	if i < 0 || (i > 0 && events[i-1] != '\n') {
+		return
+	}
+	line, _, _ := bytes.Cut(events[i+len(idField):], []byte("\n"))
+	s.lastID = string(bytes.TrimSpace(line))
+}
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// beginRun prepares the relay for the response of another run. It drops an event of
+// which the run before sent only a part.
+func (s *streamRelay) beginRun(resp *exchange.Response) {
+	s.pending = s.pending[:0]
+	s.runStart = time.Time{}
+	s.framed = resp.Framed
+	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	s.hasEvents = strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
+}
+
+// runOutput returns the time from the first to the last event of the current run, and
+// whether the run has had an event at all.
+func (s *streamRelay) runOutput() (time.Duration, bool) {
+	if s.runStart.IsZero() {
+		return 0, false
+	}
+	return s.lastWrite.Sub(s.runStart), true
+}
+
+// relayBufferSize is the size of the read buffer of a relayed stream, in bytes.
+const relayBufferSize = 4 << 10
+
+// maxEventBytes limits the size of one event. An upstream that sends bytes without
+// the end of an event would otherwise take memory until the deadline.
+const maxEventBytes = 256 << 10
+
+// errStreamTruncated is the error of a stream that its upstream broke off, although
+// the connection ended in order.
+var errStreamTruncated = errors.New("the stream was broken off")
+
+var errEventTooLong = errors.New("event of the stream exceeds the limit")
+
+var eventEnd = []byte("\n\n")
+
+// copy relays the stream until it ends. It returns nil if the response was complete.
+func (s *streamRelay) copy(body io.Reader) error {
+	var buf [relayBufferSize]byte
+	for {
+		n, err := body.Read(buf[:])
+		s.pending = append(s.pending, buf[:n]...)
+		if writeErr := s.writeEvents(err == io.EOF && !s.hasEvents); writeErr != nil {
+			return errors.Wrap(errClientDisconnected, writeErr.Error())
+		}
+		if err == io.EOF {
+			return s.checkEnd()
+		}
+		if err != nil {
+			return errors.Wrap(err, "read stream")
+		}
+		if len(s.pending) > maxEventBytes {
+			return errors.Wrapf(errEventTooLong, "%d bytes", len(s.pending))
+		}
+	}
+}
+
+// checkEnd returns an error if the response has ended too early, although its
+// connection ended in order.
+func (s *streamRelay) checkEnd() error {
+	switch {
+	case !s.hasEvents:
+		return nil
+	case len(s.pending) > 0:
+		return errors.Wrapf(errStreamTruncated, "after %d bytes of an event", len(s.pending))
+	case !s.framed && s.runStart.IsZero():
+		return errors.Wrap(errStreamTruncated, "before the first event")
+	default:
+		return nil
+	}
+}
+
+// writeEvents forwards all complete events that have arrived. If complete is set,
+// the response has ended and any remaining bytes are forwarded as well.
+func (s *streamRelay) writeEvents(complete bool) error {
+	end := len(s.pending)
+	if !complete {
+		end = bytes.LastIndex(s.pending, eventEnd)
+		if end < 0 {
+			return nil
+		}
+		end += len(eventEnd)
+	}
+	if end == 0 {
+		return nil
+	}
+	s.lastWrite = time.Now()
+	if s.runStart.IsZero() {
+		s.runStart = s.lastWrite
+	}
+	if s.onSound != nil && s.lastWrite.Sub(s.runStart) >= soundOutput {
+		s.onSound()
+		s.onSound = nil
+	}
+	if s.firstWrite.IsZero() {
+		s.firstWrite = s.lastWrite
+		if s.onFirstEvent != nil {
+			s.onFirstEvent()
+		}
+	}
+	s.events += bytes.Count(s.pending[:end], eventEnd)
+	s.updateLastID(s.pending[:end])
+	if _, err := s.w.Write(s.pending[:end]); err != nil {
+		return err
+	}
+	s.pending = append(s.pending[:0], s.pending[end:]...)
+	return s.flush.Flush()
+}
