Log and count how a response marks its end

Change: exchange.Framing replaces a flag; the last line of a request has it as framing, and fescueslip_gateway_broken_answers counts responses that ended too early by service, framing and cause. No decision changed, but one connection is kept that was closed: a response to HEAD without a length has no body whose end could be missed.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,9 +48,8 @@
 	// ContentLength is -1 if the length is unknown.
 	ContentLength int64
 	Body          *Body
-	// Framed reports whether the response has a length or chunks. Any other response
-	// ends with its connection, and a closed connection does not prove it whole.
-	Framed bool
+	// Framing tells how the end of the body is marked.
+	Framing Framing
 	// Reused reports whether the connection had carried earlier requests.
 	Reused bool
 }
@@ -129,15 +128,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read response")
 	}
-	body := &Body{conn: c, reader: resp.Body, written: written, framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}
-	body.reusable = !resp.Close && body.framed
+	framing := framingOf(resp, r.Method)
+	body := &Body{conn: c, reader: resp.Body, written: written}
+	body.reusable = !resp.Close && framing != CloseDelimited
 	body.keepAlive = keepAlive(resp.Header)
 	out := &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
 		Body:          body,
-		Framed:        body.framed,
+		Framing:       framing,
 		Reused:        c.requestCount > 1,
 	}
 	return out, nil
@@ -220,7 +220,6 @@
 	conn      *conn
 	reader    io.ReadCloser
 	written   chan error
-	framed    bool
 	reusable  bool
 	keepAlive time.Duration
 	done      bool
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
@@ -127,8 +128,11 @@
 // part of its prompt.
 func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, relay *streamRelay, err error) {
 	output, began := relay.runOutput()
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errClientDisconnected) {
+		g.Metrics.brokenAnswer(c.Service.Name, relay.framing, err)
+	}
 	switch {
-	case err == nil && !relay.framed:
+	case err == nil && relay.framing == exchange.CloseDelimited:
 		// The end of the connection may be that of a crashed upstream.
 	case err == nil:
 		g.recordCompletion(c, time.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,11 +145,19 @@
 	abortCause error
 	upstream   string
 	attempts   int
+	// framing is that of the upstream's response; hasResponse is set if there is one.
+	framing     exchange.Framing
+	hasResponse bool
 	// firstByte is the time at which the first byte of the response was sent.
 	firstByte time.Time
 	model     modelStats
 }
 
+// recordResponse records how the response that is passed on marks its end.
+func (o *outcome) recordResponse(resp *exchange.Response) {
+	o.framing, o.hasResponse = resp.Framing, true
+}
+
 // modelStats holds the durations and counts of the steps of a model request.
 type modelStats struct {
 	prefillUpstream          string
@@ -351,6 +359,9 @@
 			"prompt_tokens", c.Model.PromptTokens, "max_output_tokens", c.Model.MaxOutputTokens,
 			"expected_output_tokens", c.Model.ExpectedOutputTokens, "median_output_tokens", s.medianOutput, "age_ms", c.RetryAge.Milliseconds())
 	}
+	if res.hasResponse {
+		fields = append(fields, "framing", res.framing.String())
+	}
 	message := "request answered"
 	if res.err != nil {
 		message = "request failed"
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fault"
 )
 
@@ -24,12 +27,14 @@
 	prefillRate   metric.Float64Gauge
 	// interruptions counts runs that an upstream began and did not complete.
 	interruptions metric.Int64Counter
+	// brokenAnswers counts responses of upstreams that ended before they were whole.
+	brokenAnswers metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a gateway with the meter.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	out := &Metrics{}
-	var errs [8]error
+	var errs [9]error
 	out.requests, errs[0] = m.Int64Counter("fescueslip_gateway_requests",
 		metric.WithDescription("Requests that ended, by kind of route and status class."))
 	out.refusals, errs[1] = m.Int64Counter("fescueslip_gateway_refusals",
@@ -46,6 +51,8 @@
 		metric.WithDescription("Estimated prompt tokens that an engine processes per second, by service."))
 	out.interruptions, errs[7] = m.Int64Counter("fescueslip_gateway_interrupted_runs",
 		metric.WithDescription("Runs that an upstream may have begun and did not complete, by service."))
+	out.brokenAnswers, errs[8] = m.Int64Counter("fescueslip_gateway_broken_answers",
+		metric.WithDescription("Responses of upstreams that began and ended before they were whole, by service, framing and cause."))
 	return out, errors.Join(errs[:]...)
 }
 
@@ -67,6 +74,31 @@
 	m.interruptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
 
+// brokenAnswer counts a response that began and ended before it was whole.
+func (m *Metrics) brokenAnswer(service string, framing exchange.Framing, cause error) {
+	if m == nil {
+		return
+	}
+	m.brokenAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service),
+		attribute.String("framing", framing.String()), attribute.String("cause", breakCause(cause))))
+}
+
+// breakCause returns the class of the error that ended a response too early.
+func breakCause(err error) string {
+	switch {
+	case errors.Is(err, errStreamTruncated):
+		return "truncated"
+	case errors.Is(err, errEventTooLong):
+		return "event_too_long"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	default:
+		return "other"
+	}
+}
+
 // refused counts a request that was refused or failed, by error kind.
 func (m *Metrics) refused(kind fault.Kind) {
 	if m == nil {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -268,6 +268,7 @@
 		return false, errors.Errorf("engine %s refused to resume the stream with status %d", instance.ID, r.resp.Status)
 	}
 	m.relay.beginRun(r.resp)
+	m.outcome.recordResponse(r.resp)
 	m.gateway.scheduler.load.setOutputStart(u, placed.request, time.Now())
 	if p == nil {
 		m.relay.onFirstEvent = placed.finishPrefill
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -83,6 +83,7 @@
 	}
 	if best != nil && best.answered() {
 		res.status = best.resp.Status
+		res.recordResponse(best.resp)
 		res.firstByte = time.Now()
 		g.recordCompletion(c, res.firstByte)
 		res.abortCause = g.writeResponse(w, best)
@@ -327,7 +328,9 @@
 	}
 	r := g.send(ctx, c, u, Attempt{Purpose: Execute, To: u.Instance(), Timeout: c.Remaining(began), ResumeAfter: c.ResumeAfter}, maxIdle)
 	if r.answered() {
-		r.body, r.err = readResponse(r.resp)
+		if r.body, r.err = readResponse(r.resp); r.err != nil && ctx.Err() == nil {
+			g.Metrics.brokenAnswer(c.Service.Name, r.resp.Framing, r.err)
+		}
 	}
 	r.duration = time.Since(began)
 	g.recordHealth(ctx, c, u, r)
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -67,6 +67,7 @@
 	w.WriteHeader(r.resp.Status)
 	relay := newStreamRelay(w)
 	relay.beginRun(r.resp)
+	res.recordResponse(r.resp)
 	res.abortCause = relay.copy(r.resp.Body)
 	g.recordStreamEnd(ctx, c, r.instance, relay, res.abortCause)
 	res.firstByte = relay.firstWrite
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -23,8 +23,8 @@
 	// firstWrite in a resumed stream.
 	runStart time.Time
 	events   int
-	// framed is set if the response has a length or chunks.
-	framed bool
+	// framing tells how the end of the response is marked.
+	framing exchange.Framing
 	// hasEvents is set if the response consists of events. Any other response is
 	// passed on as it arrives at its end.
 	hasEvents bool
@@ -71,7 +71,7 @@
 func (s *streamRelay) beginRun(resp *exchange.Response) {
 	s.pending = s.pending[:0]
 	s.runStart = time.Time{}
-	s.framed = resp.Framed
+	s.framing = resp.Framing
 	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
 	s.hasEvents = strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
 }
@@ -129,7 +129,7 @@
 		return nil
 	case len(s.pending) > 0:
 		return errors.Wrapf(errStreamTruncated, "after %d bytes of an event", len(s.pending))
-	case !s.framed && s.runStart.IsZero():
+	case s.framing == exchange.CloseDelimited && s.runStart.IsZero():
 		return errors.Wrap(errStreamTruncated, "before the first event")
 	default:
 		return nil
