Reset the connection of a broken answer to a client of HTTP/1.0

What callers saw: a broken answer ended as complete for a client of HTTP/1.0. Cause: the gateway closed the client's connection in order. Where a response has neither chunks nor a length, that close is the mark of its end. Change: a response that cannot be completed ends with a reset there; clients of HTTP/1.1 still miss the last chunk, and lose nothing that is on its way to them.

--- /dev/null
+++ b/internal/gateway/abort.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/charmbracelet/log"
+)
+
+// abortResponse ends a response that has begun and cannot be completed, so that the
+// client sees that it is not whole. It does not return.
+//
+// A client of HTTP/1.1 misses the last chunk, or bytes of the announced length. For a
+// client of HTTP/1.0 the end of the connection is the end of the response, so the
+// connection is reset.
+func abortResponse(w http.ResponseWriter, r *http.Request, logger *log.Logger) {
+	if !r.ProtoAtLeast(1, 1) {
+		resetConnection(w, logger)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// lingerSetter is the part of net.TCPConn that determines how a connection is closed.
+type lingerSetter interface {
+	SetLinger(seconds int) error
+}
+
+// resetConnection closes the client's connection with a reset.
+func resetConnection(w http.ResponseWriter, logger *log.Logger) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		logger.Error("connection of a broken answer cannot be reset; the client may take the answer for whole", "err", err)
+		return
+	}
+	if c, ok := conn.(lingerSetter); ok {
+		if err := c.SetLinger(0); err != nil {
+			logger.Error("connection of a broken answer is closed without a reset; the client may take the answer for whole", "err", err)
+		}
+	}
+	// The reset discards what was not sent; an error from Close changes nothing.
+	_ = conn.Close()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -284,9 +284,8 @@
 	return body, err
 }
 
-// finish records the outcome. It then sends the error response, if res.err is set,
-// or panics with http.ErrAbortHandler, which closes the client's connection, if a
-// response that has begun cannot be completed.
+// finish records the outcome. It then sends the error response, if res.err is set, or
+// aborts a response that has begun and cannot be completed.
 func (g *Gateway) finish(w http.ResponseWriter, r *http.Request, c *Call, res outcome) {
 	now := time.Now()
 	if res.err != nil && r.Context().Err() != nil {
@@ -299,7 +298,7 @@
 	g.logCall(c, res, now)
 	switch {
 	case res.abortCause != nil:
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r, g.Logger)
 	case res.err != nil:
 		g.writeError(w, c, res.err)
 	}
