Take a streaming route's response without a media type for events

What callers saw: a stream without a media type that ended inside an event looked complete. Cause: a response was taken for events only if it named the type; any other is passed on as it stands at its end. Change: a success without a type on a streaming route consists of events. Errors without a type are passed on as they stand. Evidence: TestBrokenStreamOfAnyMediaType failed in one case and passes.

--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -72,8 +72,18 @@
 	s.pending = s.pending[:0]
 	s.runStart = time.Time{}
 	s.framing = resp.Framing
+	s.hasEvents = isEventStream(resp)
+}
+
+// isEventStream reports whether the response to a call of a streaming route consists of
+// events. A success without a media type does, because the route says so.
+func isEventStream(resp *exchange.Response) bool {
 	mediaType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
-	s.hasEvents = strings.EqualFold(strings.TrimSpace(mediaType), eventStreamType)
+	mediaType = strings.TrimSpace(mediaType)
+	if mediaType == "" {
+		return resp.Status == http.StatusOK
+	}
+	return strings.EqualFold(mediaType, eventStreamType)
 }
 
 // runOutput returns the time from the first to the last event of the current run, and
