End events of a stream at any empty line

What callers saw: nothing of a stream whose lines end with CRLF, which then ended as broken off. Cause: only LF LF counted as the end of an event. Change: an empty line ends an event, whether LF, CRLF or CR ends the lines; a CRLF that is cut in half is not an end. Evidence: TestStreamWithCRLF failed and passes; TestEndOfLastEvent; 190,000 inputs of FuzzEndOfLastEvent.

--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -292,6 +292,7 @@
 		{"whole", events, threeEventsCRLF, closedByLivingProcess, true},
 		{"inside a line end", events, threeEventsCRLF[:len(threeEventsCRLF)-1], closedByLivingProcess, false},
 		{"before the empty line", events, threeEventsCRLF[:len(threeEventsCRLF)-2], closedByLivingProcess, false},
+		{"CR alone", events, strings.ReplaceAll(threeEvents, "\n", "\r"), closedByLivingProcess, true},
 	})
 }
 
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -108,8 +108,6 @@
 
 var errEventTooLong = errors.New("event of the stream exceeds the limit")
 
-var eventEnd = []byte("\n\n")
-
 // copy relays the stream until it ends. It returns nil if the response was complete.
 func (s *streamRelay) copy(body io.Reader) error {
 	var buf [relayBufferSize]byte
@@ -137,7 +135,7 @@
 	switch {
 	case !s.hasEvents:
 		return nil
-	case len(s.pending) > 0:
+	case isPartOfEvent(s.pending):
 		return errors.Wrapf(errStreamTruncated, "after %d bytes of an event", len(s.pending))
 	case s.framing == exchange.CloseDelimited && s.runStart.IsZero():
 		return errors.Wrap(errStreamTruncated, "before the first event")
@@ -151,11 +149,7 @@
 func (s *streamRelay) writeEvents(complete bool) error {
 	end := len(s.pending)
 	if !complete {
-		end = bytes.LastIndex(s.pending, eventEnd)
-		if end < 0 {
-			return nil
-		}
-		end += len(eventEnd)
+		end = endOfLastEvent(s.pending)
 	}
 	if end == 0 {
 		return nil
@@ -174,7 +168,7 @@
 			s.onFirstEvent()
 		}
 	}
-	s.events += bytes.Count(s.pending[:end], eventEnd)
+	s.events += countEvents(s.pending[:end])
 	s.updateLastID(s.pending[:end])
 	if _, err := s.w.Write(s.pending[:end]); err != nil {
 		return err
