Resume a stream after the ID of its last event, whatever its text

What callers could have seen: pieces twice, if a stream was resumed after an event whose text contains "id:". Cause: the last "id:" was looked for in the whole text; if it stood inside a line, the ID of an earlier event was kept, and the next run began after that. Change: only the beginning of a line is an ID.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -60,3 +60,25 @@
 	}
 	return n
 }
+
+// idField begins the line of an event that holds its ID.
+var idField = []byte("id:")
+
+// lastEventID returns the ID of the last event that has one. Text that looks like an ID
+// inside another line is none.
+func lastEventID(events []byte) (id string, ok bool) {
+	for rest := events; ; {
+		i := bytes.LastIndex(rest, idField)
+		if i < 0 {
+			return "", false
+		}
+		if i == 0 || isLineEnd(events[i-1]) {
+			value := events[i+len(idField):]
+			if end := bytes.IndexAny(value, "\r\n"); end >= 0 {
+				value = value[:end]
+			}
+			return string(bytes.TrimSpace(value)), true
+		}
+		rest = rest[:i]
+	}
+}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -44,3 +44,23 @@
 		}
 	})
 }
+
+// Guards against a stream that is resumed after the wrong event because the text of an
+// event contains what looks like an ID.
+func TestLastEventID(t *testing.T) {
+	cases := []struct{ events, id string }{
+		{"id: 7\ndata: a\n\n", "7"},
+		{"id: 7\ndata: a\n\nid: 8\ndata: valid: yes\n\n", "8"},
+		{"data: paid: 5\nid:9\n\n", "9"},
+		{"id: 7\r\ndata: a\r\n\r\n", "7"},
+		{"id: 7\rdata: a\r\r", "7"},
+		{"data: id: 5\n\n", ""},
+	}
+	for _, c := range cases {
+		s := &streamRelay{}
+		s.updateLastID([]byte(c.events))
+		if s.lastID != c.id {
+			t.Errorf("%q: ID %q, want %q", c.events, s.lastID, c.id)
+		}
+	}
+}
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -51,16 +50,11 @@
 	return s.firstWrite.Sub(began)
 }
 
-var idField = []byte("id:")
-
-// updateLastID stores the ID of the last event in events.
+// updateLastID stores the ID of the last event in events that has one.
 func (s *streamRelay) updateLastID(events []byte) {
-	i := bytes.LastIndex(events, idField)
-	if i < 0 || (i > 0 && events[i-1] != '\n') {
-		return
+	if id, ok := lastEventID(events); ok {
+		s.lastID = id
 	}
-	line, _, _ := bytes.Cut(events[i+len(idField):], []byte("\n"))
-	s.lastID = string(bytes.TrimSpace(line))
 }
 
 // eventStreamType is the media type of a stream of events.
