Read a long plain response to its end

What callers saw: a plain response of 256 KiB or more was broken off after that part. Cause: the context of the attempts ended when one of them was chosen, while the rest of its response was still to be read. Change: the choice ends the other attempts; the chosen one lasts until its response is passed on. Evidence: TestLongPlainResponseArrives failed in all cases and passes.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -75,8 +75,13 @@
 // servePlain answers a call to a service that is not a model engine.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *Call) outcome {
 	g.retryBudget.RecordRequest(c.Service.Name, c.Received)
-	run := &plainExchange{gateway: g, call: c, results: make(chan *attemptResult, maxConcurrent+maxUnsent)}
+	run := newPlainExchange(g, c)
+	// The end of the context ends all attempts. The one whose response is passed on
+	// lasts until then, since a part of a long response is still to be read.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	best := run.serve(ctx)
+	run.cancelOthers(best)
 	res := outcome{attempts: run.sent}
 	if best != nil && best.upstream != nil {
 		res.upstream = best.upstream.Instance().ID
@@ -98,10 +103,12 @@
 
 // plainExchange carries one call through its attempts.
 type plainExchange struct {
-	gateway    *Gateway
-	call       *Call
-	results    chan *attemptResult
-	tried      []*fleet.Upstream
+	gateway *Gateway
+	call    *Call
+	results chan *attemptResult
+	tried   []*fleet.Upstream
+	// cancels ends the attempt at each upstream.
+	cancels    map[*fleet.Upstream]context.CancelFunc
 	active     int
 	sent       int
 	unsent     int
@@ -112,11 +119,27 @@
 	limitWait time.Duration
 }
 
+func newPlainExchange(g *Gateway, c *Call) *plainExchange {
+	return &plainExchange{
+		gateway: g,
+		call:    c,
+		results: make(chan *attemptResult, maxConcurrent+maxUnsent),
+		cancels: make(map[*fleet.Upstream]context.CancelFunc),
+	}
+}
+
+// cancelOthers ends all attempts but the one with the result best, which may be nil.
+func (p *plainExchange) cancelOthers(best *attemptResult) {
+	for u, cancel := range p.cancels {
+		if best == nil || u != best.upstream {
+			cancel()
+		}
+	}
+}
+
 // serve returns the result to forward, or the last failure. It returns nil if no
 // upstream is available.
 func (p *plainExchange) serve(ctx context.Context) *attemptResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	if !p.startFirst(ctx) {
 		return nil
 	}
@@ -203,6 +226,7 @@
 	p.tried = append(p.tried, u)
 	p.active++
 	p.sent++
+	ctx, p.cancels[u] = context.WithCancel(ctx)
 	go func() { p.results <- p.gateway.sendPlain(ctx, p.call, u) }()
 	return true
 }
