Pass on the length that a response without a body names

What callers saw: Content-Length 0 for every HEAD request to a plain service, and none for HEAD on a streaming route, in place of the length that a GET would have. Cause: the length of the empty body was written. Change: a response that has no body by definition (to HEAD, 204, 304) keeps the length that its upstream named.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,6 +50,8 @@
 	Body          *Body
 	// Framing tells how the end of the body is marked.
 	Framing Framing
+	// Bodiless is set if the response never has a body, whatever its headers say.
+	Bodiless bool
 	// Reused reports whether the connection had carried earlier requests.
 	Reused bool
 }
@@ -138,6 +140,7 @@
 		ContentLength: resp.ContentLength,
 		Body:          body,
 		Framing:       framing,
+		Bodiless:      isBodiless(resp.StatusCode, r.Method),
 		Reused:        c.requestCount > 1,
 	}
 	return out, nil
--- a/internal/exchange/framing.go
+++ b/internal/exchange/framing.go
@@ -33,11 +33,17 @@
 // framingOf returns the framing of a response to a request with the given method.
 func framingOf(resp *http.Response, method string) Framing {
 	switch {
+	case resp.ContentLength >= 0 || isBodiless(resp.StatusCode, method):
+		return LengthDelimited
 	case len(resp.TransferEncoding) > 0:
 		return Chunked
-	case resp.ContentLength >= 0 || method == http.MethodHead:
-		return LengthDelimited
 	default:
 		return CloseDelimited
 	}
 }
+
+// isBodiless reports whether a response with this status to a request with this method
+// never has a body.
+func isBodiless(status int, method string) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -453,9 +453,12 @@
 	defer func() { _ = r.resp.Body.Close() }()
 	g.writeHead(w, r.resp)
 	whole := len(r.body) < maxBufferedResponse
-	if whole {
+	switch {
+	case r.resp.Bodiless:
+		// writeHead has set the length that the upstream named.
+	case whole:
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	} else if r.resp.ContentLength >= 0 {
+	case r.resp.ContentLength >= 0:
 		w.Header().Set("Content-Length", strconv.FormatInt(r.resp.ContentLength, 10))
 	}
 	w.WriteHeader(r.resp.Status)
@@ -474,6 +477,9 @@
 func (g *Gateway) writeHead(w http.ResponseWriter, resp *exchange.Response) {
 	h := w.Header()
 	CopyEndToEndHeaders(h, resp.Header)
+	if length := resp.Header.Get("Content-Length"); length != "" && resp.Bodiless {
+		h.Set("Content-Length", length)
+	}
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // the upstream sent none; net/http would guess one
 	}
