Prove a response whole that ends with its connection

Cause: the end of a connection was taken for the end of the response. If a process ends, the kernel closes its connections in order. Change: after such an end the upstream must still accept a connection, which is kept for the next request. If it does not, the response was broken off: a resumable stream goes on elsewhere, an idempotent call is repeated, any other answer is broken off for the client too. Since the end is then proved, it clears suspicions of crashes again. Why this works: a crashed process accepts nothing, and is down for longer than a round trip. What cannot be told by anybody: a process that goes on and closes in order between two events. Evidence: TestBrokenStreamNeverLooksComplete, TestBrokenStreamIsResetForHTTP10, TestBrokenPlainResponseNeverLooksComplete and TestBrokenLongPlainResponse failed before and pass.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -35,8 +35,9 @@
 type Pool struct {
 	dial DialFunc
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// open is the number of open connections by address.
 	open   map[string]int
 	opened atomic.Int64
 }
@@ -77,17 +78,34 @@
 	if c := p.reuseIdle(r); c != nil {
 		return c, nil
 	}
-	if err := p.reserveSlot(r); err != nil {
+	return p.connect(ctx, r.Address, r.MaxConns)
+}
+
+// connect opens a connection to the address, unless maxConns are open; 0 means no limit.
+func (p *Pool) connect(ctx context.Context, address string, maxConns int) (*conn, error) {
+	if err := p.reserveSlot(address, maxConns); err != nil {
 		return nil, err
 	}
-	nc, err := p.dial(ctx, "tcp", r.Address)
+	nc, err := p.dial(ctx, "tcp", address)
 	if err != nil {
-		p.releaseSlot(r.Address)
+		p.releaseSlot(address)
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.opened.Add(1)
 	source := &headLimiter{source: nc}
-	return &conn{Conn: nc, pool: p, address: r.Address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
+	return &conn{Conn: nc, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
+}
+
+// CheckReachable opens a connection to the address, whatever the number of open ones, and
+// keeps it for a later request. It returns an error if nothing accepts the connection
+// before the context ends.
+func (p *Pool) CheckReachable(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address, 0)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c, 0)
+	return nil
 }
 
 // reuseIdle returns the most recently used idle connection, because the upstream is
@@ -124,15 +142,15 @@
 	return c
 }
 
-// reserveSlot counts a connection that is about to be opened, unless the limit of
-// the request is reached.
-func (p *Pool) reserveSlot(r *Request) error {
+// reserveSlot counts a connection that is about to be opened, unless maxConns are open
+// already; 0 means no limit.
+func (p *Pool) reserveSlot(address string, maxConns int) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r.MaxConns > 0 && p.open[r.Address] >= r.MaxConns {
+	if maxConns > 0 && p.open[address] >= maxConns {
 		return ErrTooManyConns
 	}
-	p.open[r.Address]++
+	p.open[address]++
 	return nil
 }
 
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
@@ -132,8 +131,6 @@
 		g.Metrics.brokenAnswer(c.Service.Name, relay.framing, err)
 	}
 	switch {
-	case err == nil && relay.framing == exchange.CloseDelimited:
-		// The end of the connection may be that of a crashed upstream.
 	case err == nil:
 		g.recordCompletion(c, time.Now())
 		if began {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -88,6 +88,8 @@
 	switch {
 	case errors.Is(err, errStreamTruncated):
 		return "truncated"
+	case errors.Is(err, errUpstreamGone):
+		return "upstream_gone"
 	case errors.Is(err, errEventTooLong):
 		return "event_too_long"
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -274,7 +274,9 @@
 		m.relay.onFirstEvent = placed.finishPrefill
 	}
 	m.relay.onSound = func() { m.gateway.recordSound(m.call) }
-	err = m.relay.copy(r.resp.Body)
+	if err = m.relay.copy(r.resp.Body); err == nil {
+		err = m.gateway.confirmEnd(ctx, instance, r.resp.Framing)
+	}
 	m.gateway.recordStreamEnd(ctx, m.call, instance, m.relay, err)
 	m.outcome.firstByte, m.outcome.model.events = m.relay.firstWrite, m.relay.events
 	if err != nil {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -68,7 +68,9 @@
 	relay := newStreamRelay(w)
 	relay.beginRun(r.resp)
 	res.recordResponse(r.resp)
-	res.abortCause = relay.copy(r.resp.Body)
+	if res.abortCause = relay.copy(r.resp.Body); res.abortCause == nil {
+		res.abortCause = g.confirmEnd(ctx, r.instance, r.resp.Framing)
+	}
 	g.recordStreamEnd(ctx, c, r.instance, relay, res.abortCause)
 	res.firstByte = relay.firstWrite
 	return r, true
