Prove a service's response whole before a sidecar ends it in order

Cause: as at the gateway, the end of the connection was taken for the end of the response. Change: the sidecar checks that the service still accepts connections; otherwise its own response breaks off, which the entry passes on. The state of the sidecar counts such responses. Evidence: TestBrokenServiceResponseNeverLooksComplete failed in both cases of a crash and passes.

--- a/internal/plain/sidecar.go
+++ b/internal/plain/sidecar.go
@@ -62,11 +62,12 @@
 
 // sidecarCounters counts the calls that are in progress (running), of which a part
 // was sent to the service (submitted), that the service certainly did not receive
-// (refused), and that were sent but got no response (lost).
+// (refused), that were sent but got no response (lost), and whose response was broken
+// off (truncated).
 type sidecarCounters struct {
-	running, submitted, refused, lost atomic.Int64
-	mu                                sync.Mutex
-	reasons                           map[reason]int64
+	running, submitted, refused, lost, truncated atomic.Int64
+	mu                                           sync.Mutex
+	reasons                                      map[reason]int64
 }
 
 // SidecarState is a snapshot of a Sidecar for debug output.
@@ -78,6 +79,7 @@
 	Submitted int64            `json:"submitted"`
 	Refused   int64            `json:"refused"`
 	Lost      int64            `json:"lost"`
+	Truncated int64            `json:"truncated"`
 	Reasons   map[string]int64 `json:"reasons,omitempty"`
 }
 
@@ -149,6 +151,7 @@
 		Submitted: s.counters.submitted.Load(),
 		Refused:   s.counters.refused.Load(),
 		Lost:      s.counters.lost.Load(),
+		Truncated: s.counters.truncated.Load(),
 		Reasons:   make(map[string]int64),
 	}
 	s.counters.mu.Lock()
@@ -220,7 +223,7 @@
 		return
 	}
 	resp.Body = idle.wrapBody(resp.Body)
-	s.writeServiceResponse(w, resp)
+	s.writeServiceResponse(ctx, w, resp)
 }
 
 // handleSubmitError tells the entry that the service gave no response, and whether
@@ -241,7 +244,15 @@
 	s.writeVerdict(w, verdictNoResponse, r)
 }
 
-func (s *Sidecar) writeServiceResponse(w http.ResponseWriter, resp *http.Response) {
+// dialAddress returns the host and port of a base address.
+func dialAddress(target *url.URL) string {
+	if target.Port() != "" {
+		return target.Host
+	}
+	return net.JoinHostPort(target.Hostname(), "80")
+}
+
+func (s *Sidecar) writeServiceResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	announced := copyResponseHeaders(w.Header(), resp)
 	w.Header().Set(headerVerdict, string(verdictAnswered))
@@ -249,12 +260,36 @@
 		w.Header().Set(headerLeaving, "1")
 	}
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp, nil); err != nil {
+	err := copyBody(w, resp, nil)
+	if err == nil {
+		err = s.confirmEnd(ctx, resp)
+	}
+	if err != nil {
+		s.counters.truncated.Add(1)
+		if s.logger != nil {
+			s.logger.Warn("response of the service was broken off", "upstream", s.upstream, "status", resp.StatusCode, "err", err)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	copyTrailers(w, resp, announced)
 }
 
+// confirmEnd returns an error if the end of a response, whose connection ended in order,
+// may be that of a crashed service. A response without a length and chunks also ends in
+// order if the service's process ends, so the service must still accept connections.
+func (s *Sidecar) confirmEnd(ctx context.Context, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
+		return nil
+	}
+	conn, err := s.transport.DialContext(ctx, "tcp", dialAddress(s.target))
+	if err != nil {
+		return errors.Wrap(err, "the response ended with its connection, and the service no longer accepts connections")
+	}
+	// Nothing was sent on the connection.
+	_ = conn.Close()
+	return nil
+}
+
 // serviceRequest builds the request to the service. Like requestBody.open, it
 // keeps net/http from resending the request on its own. net/http does so for
 // methods without a body, and for requests that have an Idempotency-Key header.
