Reset the connection of a broken answer of an entry to a caller of HTTP/1.0

What callers of an entry could have seen: a broken response of a plain service looked whole in HTTP/1.0, as at the gateway. Change: the gateway's abort moves to internal/httpabort, and the entry uses it; it reaches the server's writer through gin's, which hands out no connection on which a response has begun. Evidence: TestBrokenResponseIsResetForHTTP10 failed and passes; TestAbortedResponseIsNotWhole.

--- a/internal/entry/middleware.go
+++ b/internal/entry/middleware.go
@@ -14,6 +14,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/httpabort"
 )
 
 const (
@@ -31,8 +32,8 @@
 	c.Abort()
 }
 
-// recover answers a call whose handler panicked with an internal error. It
-// repeats http.ErrAbortHandler, with which a handler aborts its response.
+// recover answers a call whose handler panicked with an internal error. A panic with
+// http.ErrAbortHandler, with which a handler aborts its response, is repeated.
 func (e *Entry) recover(c *gin.Context) {
 	defer func() {
 		p := recover()
@@ -40,7 +41,7 @@
 			return
 		}
 		if p == http.ErrAbortHandler {
-			panic(p)
+			httpabort.Abort(c.Writer, c.Request, e.log)
 		}
 		e.log.Error("request handler panicked", "request", c.GetString(keyRequestID), "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		if !c.Writer.Written() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/fleet"
+	"github.com/fescueslip/fescueslip/internal/httpabort"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
@@ -298,7 +299,7 @@
 	g.logCall(c, res, now)
 	switch {
 	case res.abortCause != nil:
-		abortResponse(w, r, g.Logger)
+		httpabort.Abort(w, r, g.Logger)
 	case res.err != nil:
 		g.writeError(w, c, res.err)
 	}
