Follow the generation of the store, log restorations and count them

Change: revision.Tracker follows it over all calls, errors too; a line for each restoration and for a value that cannot be read, two gauges, the state dump. No decision depends on it yet.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/fescueslip/fescueslip/internal/leadership"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/presence"
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/roles"
 	"github.com/fescueslip/fescueslip/internal/routing"
 	"github.com/fescueslip/fescueslip/internal/settings"
@@ -28,8 +29,10 @@
 // Adapter connects a gateway to the platform of a deployment: its store, the
 // encoding of the stored entries, and the protocol of its clients and upstreams.
 type Adapter struct {
-	Store    mirror.Store
-	Presence presence.Store
+	Store mirror.Store
+	// Generations follows the restorations of the store.
+	Generations *revision.Tracker
+	Presence    presence.Store
 	// Leadership and RoleClient are used to change the roles of engines.
 	Leadership   leadership.Store
 	RoleClient   roles.EngineClient
@@ -133,11 +136,13 @@
 		value       func() int64
 		description string
 	}{
-		"fescueslip_gateway_in_flight":         {g.InFlight, "Requests in progress."},
-		"fescueslip_gateway_config_version":    {func() int64 { return int64(configVersion(t.tables)) }, "Version of the configuration in force."},
-		"fescueslip_gateway_upstreams":         {func() int64 { return int64(t.fleet.Snapshot().Len()) }, "Upstreams on the list."},
-		"fescueslip_gateway_limited_upstreams": {func() int64 { return countLimited(t.fleet.Snapshot()) }, "Upstreams that name a limit on their requests."},
-		"fescueslip_gateway_connections":       {p.Pool.OpenedTotal, "Connections opened to upstreams and the store since the start."},
+		"fescueslip_gateway_in_flight":          {g.InFlight, "Requests in progress."},
+		"fescueslip_gateway_config_version":     {func() int64 { return int64(configVersion(t.tables)) }, "Version of the configuration in force."},
+		"fescueslip_gateway_upstreams":          {func() int64 { return int64(t.fleet.Snapshot().Len()) }, "Upstreams on the list."},
+		"fescueslip_gateway_limited_upstreams":  {func() int64 { return countLimited(t.fleet.Snapshot()) }, "Upstreams that name a limit on their requests."},
+		"fescueslip_gateway_store_generation":   {func() int64 { return int64(p.Adapter.Generations.Current()) }, "Generation of the store; it rises when the store is restored from a copy."},
+		"fescueslip_gateway_store_restorations": {func() int64 { return int64(p.Adapter.Generations.Restorations()) }, "Restorations of the store that were seen since the start."},
+		"fescueslip_gateway_connections":        {p.Pool.OpenedTotal, "Connections opened to upstreams and the store since the start."},
 	}
 	if p.LogDropped != nil {
 		gauges["fescueslip_gateway_log_dropped"] = struct {
--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -9,15 +9,18 @@
 
 // gatewayState is the state dump of a gateway process.
 type gatewayState struct {
-	Instance      string           `json:"instance"`
-	FailureDomain string           `json:"failure_domain"`
-	ConfigVersion uint64           `json:"config_version"`
-	FleetRevision uint64           `json:"fleet_revision"`
-	Ready         bool             `json:"ready"`
-	Leaving       bool             `json:"leaving"`
-	InFlight      int64            `json:"in_flight"`
-	Connections   int64            `json:"connections_opened"`
-	Upstreams     []upstreamStatus `json:"upstreams"`
+	Instance      string `json:"instance"`
+	FailureDomain string `json:"failure_domain"`
+	ConfigVersion uint64 `json:"config_version"`
+	FleetRevision uint64 `json:"fleet_revision"`
+	// StoreGeneration rises when the store is restored from a copy.
+	StoreGeneration   uint64           `json:"store_generation"`
+	StoreRestorations uint64           `json:"store_restorations_seen"`
+	Ready             bool             `json:"ready"`
+	Leaving           bool             `json:"leaving"`
+	InFlight          int64            `json:"in_flight"`
+	Connections       int64            `json:"connections_opened"`
+	Upstreams         []upstreamStatus `json:"upstreams"`
 	// EngineSpeeds lists the estimated speeds of the engines of each model service.
 	EngineSpeeds []engineSpeedStatus `json:"engine_speeds"`
 	// Suspended lists the requests that are refused because upstreams crashed while
@@ -89,14 +92,16 @@
 func newGatewayState(p GatewayProcess, t *topology, g *gateway.Gateway) gatewayState {
 	snapshot := t.fleet.Snapshot()
 	state := gatewayState{
-		Instance:      p.Settings.Instance,
-		FailureDomain: p.Settings.FailureDomain,
-		ConfigVersion: configVersion(t.tables),
-		FleetRevision: snapshot.Revision,
-		Ready:         t.ready() && !g.ShuttingDown(),
-		Leaving:       g.ShuttingDown(),
-		InFlight:      g.InFlight(),
-		Connections:   p.Pool.OpenedTotal(),
+		Instance:          p.Settings.Instance,
+		FailureDomain:     p.Settings.FailureDomain,
+		ConfigVersion:     configVersion(t.tables),
+		FleetRevision:     snapshot.Revision,
+		StoreGeneration:   p.Adapter.Generations.Current(),
+		StoreRestorations: p.Adapter.Generations.Restorations(),
+		Ready:             t.ready() && !g.ShuttingDown(),
+		Leaving:           g.ShuttingDown(),
+		InFlight:          g.InFlight(),
+		Connections:       p.Pool.OpenedTotal(),
 	}
 	now := time.Now()
 	state.Suspended = newSuspensionStatuses(g.Suspended(now))
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -10,6 +10,7 @@
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
 	"github.com/fescueslip/fescueslip/internal/mirror"
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
@@ -30,10 +31,22 @@
 		MinInterval:        max(minStoreReadInterval, p.Settings.Store.ChangeDeadline/readsPerChangeDeadline),
 		MaxSilence:         p.Settings.Store.MaxSilence,
 	})
+	logGenerations(p.Adapter.Generations, t, p.Logger)
 	serveHTTP(p.ControlListener, snapshotHandler(m.LastView), p.Logger, lc)
 	lc.Append(fx.StartHook(func() { b.run("store", m.Run) }))
 }
 
+// logGenerations makes the tracker log restorations of the store.
+func logGenerations(generations *revision.Tracker, t *topology, logger *log.Logger) {
+	generations.OnChange = func(from, to uint64) {
+		logger.Warn("store restored from an older copy; revisions are given out again", "from_generation", from, "generation", to,
+			"config_version", configVersion(t.tables))
+	}
+	generations.OnMalformed = func(text string, err error) {
+		logger.Warn("generation of the store cannot be read; the last one is kept, and a restoration may be missed", "generation", generations.Current(), "value", text, "err", err)
+	}
+}
+
 const (
 	// minStoreReadInterval is the least interval between two reads of the store; it
 	// limits the calls while the store changes often.
