Compare revisions of the store within one generation only

What callers see after a restoration: 404 for routes that were added since, and requests at the old service of routes that were changed. Cause: the copy of the store kept the highest revision number that it had seen, and took only entries with higher ones. A restored store gives the numbers out again. Numbers of two generations are not compared; a listing or watch of another generation makes the copy list everything again, and any call that shows one ends a watch that waits. For now the store has the say of every entry then.

--- a/internal/app/gateway_roles.go
+++ b/internal/app/gateway_roles.go
@@ -12,6 +12,7 @@
 	"github.com/fescueslip/fescueslip/internal/gateway"
 	"github.com/fescueslip/fescueslip/internal/leadership"
 	"github.com/fescueslip/fescueslip/internal/mirror"
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/roles"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
@@ -28,7 +29,7 @@
 	// leaderKeyFree reports whether the store has no leader key.
 	leaderKeyFree atomic.Bool
 	// lastRevision is the store revision of the plan that was read last.
-	lastRevision uint64
+	lastRevision revision.Revision
 }
 
 func newRolePlanReader(g *gateway.Gateway, tables *routing.Holder) *rolePlanReader {
--- a/internal/app/gateway_snapshot.go
+++ b/internal/app/gateway_snapshot.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/mirror"
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // snapshotPath serves a gateway's copy of the store to gateways that cannot read
@@ -33,8 +33,10 @@
 
 // snapshotMessage is the response body of snapshotPath.
 type snapshotMessage struct {
-	// Revision is the store revision of the snapshot.
-	Revision uint64 `json:"revision"`
+	// Revision is the store revision of the snapshot, Generation the generation of the
+	// store that it belongs to.
+	Revision   uint64 `json:"revision"`
+	Generation uint64 `json:"generation,omitempty"`
 	// Current reports whether the gateway can read the store at the moment.
 	Current bool            `json:"current"`
 	Entries []snapshotEntry `json:"entries"`
@@ -44,24 +46,30 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
+	// Generation is that of Revision. It is older than that of the snapshot if the entry
+	// is kept although the store no longer shows it.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
 func snapshotHandler(lastView func() mirror.View) http.Handler {
 	engine := gin.New()
 	engine.GET(snapshotPath, func(c *gin.Context) {
 		view := lastView()
-		after, err := strconv.ParseUint(c.DefaultQuery(afterParameter, "0"), 10, 64)
+		after, err := revision.Parse(c.DefaultQuery(afterParameter, "0"))
 		if err != nil {
 			c.String(http.StatusBadRequest, "%s: want a revision: %v", afterParameter, err)
 			return
 		}
-		if after > 0 && (!view.Current || view.Revision <= after) {
+		if !after.IsZero() && (!view.Current || !view.Revision.After(after)) {
 			c.Status(http.StatusNoContent)
 			return
 		}
-		msg := snapshotMessage{Revision: view.Revision, Current: view.Current, Entries: make([]snapshotEntry, 0, len(view.Entries))}
+		msg := snapshotMessage{
+			Revision: view.Revision.Number, Generation: view.Revision.Generation, Current: view.Current,
+			Entries: make([]snapshotEntry, 0, len(view.Entries)),
+		}
 		for _, e := range view.Entries {
-			msg.Entries = append(msg.Entries, snapshotEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+			msg.Entries = append(msg.Entries, snapshotEntry{Key: e.Key, Value: e.Value, Revision: e.Revision.Number, Generation: e.Revision.Generation})
 		}
 		c.JSON(http.StatusOK, msg)
 	})
@@ -81,7 +89,7 @@
 
 // fetchNewer returns the view of the first gateway that has a newer revision than
 // after.
-func (s snapshotFetcher) fetchNewer(ctx context.Context, after uint64) (mirror.View, error) {
+func (s snapshotFetcher) fetchNewer(ctx context.Context, after revision.Revision) (mirror.View, error) {
 	err := errNoNewerSnapshot
 	for seed := range strings.SplitSeq(s.seeds, ",") {
 		if seed == "" || seed == s.ownAddress {
@@ -98,10 +106,10 @@
 	return mirror.View{}, err
 }
 
-func (s snapshotFetcher) fetchFrom(ctx context.Context, seed string, after uint64) (mirror.View, error) {
+func (s snapshotFetcher) fetchFrom(ctx context.Context, seed string, after revision.Revision) (mirror.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	target := snapshotPath + "?" + afterParameter + "=" + strconv.FormatUint(after, 10)
+	target := snapshotPath + "?" + afterParameter + "=" + after.String()
 	resp, err := s.pool.Do(ctx, &exchange.Request{Address: seed, Method: http.MethodGet, Target: target, Host: seed})
 	if err != nil {
 		return mirror.View{}, errors.Wrapf(err, "request the snapshot of gateway %s", seed)
@@ -114,9 +122,9 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshotBytes)).Decode(&msg); err != nil {
 		return mirror.View{}, errors.Wrapf(err, "decode the snapshot of gateway %s", seed)
 	}
-	view := mirror.View{Revision: msg.Revision, Current: msg.Current, Entries: make(map[string]mirror.Entry, len(msg.Entries))}
+	view := mirror.View{Revision: revision.Revision{Generation: msg.Generation, Number: msg.Revision}, Current: msg.Current, Entries: make(map[string]mirror.Entry, len(msg.Entries))}
 	for _, e := range msg.Entries {
-		view.Entries[e.Key] = mirror.Entry{Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: e.Revision}}
+		view.Entries[e.Key] = mirror.Entry{Item: mirror.Item{Key: e.Key, Value: e.Value, Revision: revision.Revision{Generation: e.Generation, Number: e.Revision}}}
 	}
 	return view, nil
 }
--- a/internal/app/gateway_state.go
+++ b/internal/app/gateway_state.go
@@ -5,14 +5,15 @@
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // gatewayState is the state dump of a gateway process.
 type gatewayState struct {
-	Instance      string `json:"instance"`
-	FailureDomain string `json:"failure_domain"`
-	ConfigVersion uint64 `json:"config_version"`
-	FleetRevision uint64 `json:"fleet_revision"`
+	Instance      string            `json:"instance"`
+	FailureDomain string            `json:"failure_domain"`
+	ConfigVersion uint64            `json:"config_version"`
+	FleetRevision revision.Revision `json:"fleet_revision"`
 	// StoreGeneration rises when the store is restored from a copy.
 	StoreGeneration   uint64           `json:"store_generation"`
 	StoreRestorations uint64           `json:"store_restorations_seen"`
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -64,10 +64,10 @@
 	plans          *rolePlanReader
 	suspensions    *suspensionReader
 	log            *log.Logger
-	configRevision uint64
+	configRevision revision.Revision
 	// invalidEntries maps the keys of entries that could not be decoded to the
 	// revision that was logged, so that each revision is logged only once.
-	invalidEntries map[string]uint64
+	invalidEntries map[string]revision.Revision
 }
 
 // connectionChanged is called when the connection to the store is lost, with the
@@ -131,7 +131,7 @@
 
 func (f *storeFollower) applyInstances(view mirror.View) {
 	if f.invalidEntries == nil {
-		f.invalidEntries = make(map[string]uint64)
+		f.invalidEntries = make(map[string]revision.Revision)
 	}
 	var list []fleet.Instance
 	for key, entry := range view.Entries {
--- a/internal/app/gateway_suspensions.go
+++ b/internal/app/gateway_suspensions.go
@@ -14,6 +14,7 @@
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/presence"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
@@ -149,7 +150,7 @@
 	gateway *gateway.Gateway
 	log     *log.Logger
 	// appliedRevisions maps keys to the store revision that was applied last.
-	appliedRevisions map[string]uint64
+	appliedRevisions map[string]revision.Revision
 }
 
 // apply suspends the requests whose suspensions in the view were not applied yet,
@@ -181,25 +182,25 @@
 }
 
 // isNew reports whether the revision of the key was not applied yet, and records it.
-func (r *suspensionReader) isNew(key string, revision uint64) bool {
-	if r.appliedRevisions[key] == revision {
+func (r *suspensionReader) isNew(key string, at revision.Revision) bool {
+	if r.appliedRevisions[key] == at {
 		return false
 	}
 	if r.appliedRevisions == nil {
-		r.appliedRevisions = make(map[string]uint64)
+		r.appliedRevisions = make(map[string]revision.Revision)
 	}
-	r.appliedRevisions[key] = revision
+	r.appliedRevisions[key] = at
 	return true
 }
 
 // liftRevisions maps fingerprints that operators have lifted to the store revisions of
 // the lifts.
-type liftRevisions map[quarantine.Fingerprint]uint64
+type liftRevisions map[quarantine.Fingerprint]revision.Revision
 
 // after reports whether a subject of a suspension was lifted after the revision.
-func (l liftRevisions) after(s quarantine.Suspension, revision uint64) bool {
+func (l liftRevisions) after(s quarantine.Suspension, at revision.Revision) bool {
 	for _, f := range s.Subjects {
-		if l[f] > revision {
+		if l[f].After(at) {
 			return true
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // Fleet is the set of known upstreams. Readers take a snapshot without a lock;
@@ -19,7 +21,7 @@
 type Snapshot struct {
 	// Revision is the revision of the instance list that the snapshot was built
 	// from.
-	Revision  uint64
+	Revision  revision.Revision
 	byService map[string][]*Upstream
 	byKey     map[instanceKey]*Upstream
 }
@@ -74,12 +76,12 @@
 // Replace sets the instances of the fleet. The upstream of an instance that was
 // already in the fleet keeps its observations; a known id with a new
 // incarnation is a new upstream.
-func (f *Fleet) Replace(instances []Instance, revision uint64) Change {
+func (f *Fleet) Replace(instances []Instance, listed revision.Revision) Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.snapshot.Load()
 	next := &Snapshot{
-		Revision:  revision,
+		Revision:  listed,
 		byService: make(map[string][]*Upstream),
 		byKey:     make(map[instanceKey]*Upstream, len(instances)),
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // TestReplaceKeepsObservations guards against two failures: observations of an
@@ -11,14 +13,14 @@
 func TestReplaceKeepsObservations(t *testing.T) {
 	f := New()
 	now := time.Now()
-	f.Replace([]Instance{{ID: "a", Incarnation: 1, Service: "s"}}, 1)
+	f.Replace([]Instance{{ID: "a", Incarnation: 1, Service: "s"}}, revision.Revision{Number: 1})
 	old := f.Snapshot().Service("s")[0]
 	old.RecordUnreachable(now, time.Second)
-	change := f.Replace([]Instance{{ID: "a", Incarnation: 1, Service: "s", Leaving: true}}, 2)
+	change := f.Replace([]Instance{{ID: "a", Incarnation: 1, Service: "s", Leaving: true}}, revision.Revision{Number: 2})
 	if u := f.Snapshot().Service("s")[0]; u != old || u.Usable() || len(change.Leaving) != 1 {
 		t.Errorf("a leaving instance must keep its upstream, be unusable and be reported as leaving; got change %+v", change)
 	}
-	f.Replace([]Instance{{ID: "a", Incarnation: 2, Service: "s"}}, 3)
+	f.Replace([]Instance{{ID: "a", Incarnation: 2, Service: "s"}}, revision.Revision{Number: 3})
 	if u := f.Snapshot().Service("s")[0]; u == old || u.Health(now).Avoid || !old.Removed() {
 		t.Error("a new incarnation must not take over the observations of the previous one, which must be removed")
 	}
@@ -30,7 +32,7 @@
 // success resets it.
 func TestRefusalsPauseUpstream(t *testing.T) {
 	f := New()
-	f.Replace([]Instance{{ID: "a", Service: "s", Role: RoleDecode}}, 1)
+	f.Replace([]Instance{{ID: "a", Service: "s", Role: RoleDecode}}, revision.Revision{Number: 1})
 	u := f.Snapshot().Service("s")[0]
 	now := time.Now()
 	u.RecordRefusal(now, false)
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -15,6 +15,7 @@
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
@@ -114,7 +115,7 @@
 	tables, upstreams := new(routing.Holder), fleet.New()
 	route := &routing.Route{Name: "r", Host: "h.example", Prefix: "/", Kind: kind, MaxAttempts: 1, WeightedServices: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	tables.Replace(routing.New(1, []*routing.Route{route}, []*routing.Service{{Name: "s"}}, routing.DefaultLimits()))
-	upstreams.Replace([]fleet.Instance{{ID: "i-1", Incarnation: 1, Service: "s", Address: u.listener.Addr().String(), Slots: 4}}, 1)
+	upstreams.Replace([]fleet.Instance{{ID: "i-1", Incarnation: 1, Service: "s", Address: u.listener.Addr().String(), Slots: 4}}, revision.Revision{Number: 1})
 	one := func() int { return 1 }
 	g := gateway.New(gateway.Options{
 		Instance: "g", Protocol: testProtocol{}, Pool: exchange.NewPool(nil), Tables: tables, Fleet: upstreams,
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,9 +1,13 @@
 // Package mirror keeps a local copy of a revisioned key-value store.
 //
 // A Mirror lists all items once and then watches for changes. It lists all items
-// again if the store no longer has the history that it needs or if a watch was
-// interrupted. The copy remains valid while the store is unavailable, so that an
-// outage of the store does not stop the processes that read it.
+// again if the store no longer has the history that it needs, if a watch was
+// interrupted, or if the store was restored from an older copy. The copy remains valid
+// while the store is unavailable, so that an outage of the store does not stop the
+// processes that read it.
+//
+// After a restoration, revision numbers are given out again. Numbers are therefore
+// compared within one generation of the store only; see package revision.
 package mirror
 
 import (
@@ -14,6 +18,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
@@ -21,11 +26,15 @@
 // no longer available.
 var ErrCompacted = errors.New("the store no longer has the history after the requested revision")
 
+// ErrRestored is returned by Store.Watch if the store was restored from an older copy since
+// the given revision.
+var ErrRestored = errors.New("the store was restored from an older copy since the requested revision")
+
 // Item is a key with its value.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Event is a change of one key.
@@ -39,7 +48,7 @@
 	Items []Item
 	More  bool
 	// Revision is the store's revision when the page was read.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Store is the part of a key-value store that a mirror needs.
@@ -48,8 +57,9 @@
 	List(ctx context.Context, prefix, after string) (Page, error)
 	// Watch waits for changes under the prefix that are newer than the given
 	// revision. It returns the changes, or none if the wait ends first, and the
-	// revision from which to continue.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error)
+	// revision from which to continue, which is of the same generation. It returns
+	// ErrRestored as soon as it knows that the store is of another generation.
+	Watch(ctx context.Context, prefix string, after revision.Revision, wait time.Duration) ([]Event, revision.Revision, error)
 }
 
 // Entry is an item of the local copy.
@@ -65,7 +75,7 @@
 type View struct {
 	// Entries must not be modified.
 	Entries  map[string]Entry
-	Revision uint64
+	Revision revision.Revision
 	// Current means that the process can read the store now. Otherwise the view may
 	// be out of date or come from another process.
 	Current bool
@@ -106,9 +116,9 @@
 	// restored.
 	OnConnectionChange func(lost bool, err error)
 	// FetchFromPeer returns the view of another process while this process cannot
-	// read the store. The view must be newer than the given revision; revision 0
-	// accepts any view. FetchFromPeer may be nil.
-	FetchFromPeer func(ctx context.Context, after uint64) (View, error)
+	// read the store. The view must be newer than the given revision; the zero
+	// revision accepts any view. FetchFromPeer may be nil.
+	FetchFromPeer func(ctx context.Context, after revision.Revision) (View, error)
 	// MinInterval is the minimum time between two watches. Changes within that time
 	// are read together.
 	MinInterval time.Duration
@@ -129,17 +139,18 @@
 	entries map[string]Entry
 	// unconfirmedUntil is the time at which each unconfirmed entry is dropped.
 	unconfirmedUntil map[string]time.Time
-	revision         uint64
-	synced           bool
-	disconnected     bool
-	slow             bool
-	backoff          time.Duration
+	// revision is that of the last listing or watch; zero before the first.
+	revision     revision.Revision
+	synced       bool
+	disconnected bool
+	slow         bool
+	backoff      time.Duration
 	// reconnectedAt is the time at which the last outage of the store ended.
 	reconnectedAt time.Time
 
 	// peerRevision is the newest revision received from another process. It is ahead
 	// of revision while the store is unavailable.
-	peerRevision uint64
+	peerRevision revision.Revision
 
 	mu sync.Mutex
 	// lastView is the most recent view.
@@ -200,10 +211,10 @@
 }
 
 // handleFailure makes the next step list all entries if the store has compacted the
-// changes. After any other error it marks the store as disconnected, updates the
-// copy from another process if possible, and waits.
+// changes or was restored. After any other error it marks the store as disconnected,
+// updates the copy from another process if possible, and waits.
 func (m *Mirror) handleFailure(ctx context.Context, err error) {
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		m.synced = false
 		return
 	}
@@ -227,20 +238,20 @@
 func (m *Mirror) applyPeerView(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	after := max(m.revision, m.peerRevision)
+	after := m.newestRevision()
 	v, err := m.options.FetchFromPeer(callCtx, after)
 	if err != nil {
 		return // the store is retried soon, and the other processes after it
 	}
 	// A starting process accepts any view. The entries are marked as unconfirmed,
 	// since the first listing decides which of them exist.
-	starting := m.revision == 0
-	if !starting && (!v.Current || v.Revision <= after) {
+	starting := m.revision.IsZero()
+	if !starting && (!v.Current || !v.Revision.After(after)) {
 		return
 	}
 	changed := false
 	for k, e := range v.Entries {
-		if old, ok := m.entries[k]; !ok || old.Revision < e.Revision {
+		if old, ok := m.entries[k]; !ok || e.Revision.After(old.Revision) {
 			e.Unconfirmed = starting
 			m.entries[k] = e
 			changed = true
@@ -253,11 +264,19 @@
 	m.publish(changed)
 }
 
+// newestRevision returns the revision up to which this process knows the store.
+func (m *Mirror) newestRevision() revision.Revision {
+	if m.peerRevision.After(m.revision) {
+		return m.peerRevision
+	}
+	return m.revision
+}
+
 // dropAbsent drops the entries that no longer existed at the view's revision. It
 // reports whether there were any.
 func (m *Mirror) dropAbsent(v View) (dropped bool) {
 	for k, e := range m.entries {
-		if _, found := v.Entries[k]; !found && e.Revision <= v.Revision {
+		if _, found := v.Entries[k]; !found && !e.Revision.After(v.Revision) {
 			m.drop(k)
 			dropped = true
 		}
@@ -274,7 +293,7 @@
 
 func (m *Mirror) list(ctx context.Context) error {
 	found := make(map[string]Item)
-	var revision uint64
+	var listed revision.Revision
 	for _, prefix := range m.options.Prefixes {
 		after := ""
 		for {
@@ -284,8 +303,11 @@
 			}
 			// The pages are not one snapshot. Watching from the revision of the
 			// first page repeats all changes between the pages.
-			if revision == 0 {
-				revision = page.Revision
+			if listed.IsZero() {
+				listed = page.Revision
+			}
+			if !page.Revision.SameGeneration(listed) {
+				return ErrRestored
 			}
 			for _, item := range page.Items {
 				found[item.Key] = item
@@ -298,7 +320,7 @@
 	}
 	m.markConnected(time.Now())
 	m.synced = true
-	m.replaceAll(found, revision)
+	m.replaceAll(found, listed)
 	return nil
 }
 
@@ -317,7 +339,10 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, limit+m.timeout())
 	defer cancel()
-	events, revision, err := m.options.Store.Watch(callCtx, m.options.WatchPrefix, m.revision, limit)
+	events, next, err := m.options.Store.Watch(callCtx, m.options.WatchPrefix, m.revision, limit)
+	if err == nil && !next.SameGeneration(m.revision) {
+		err = ErrRestored
+	}
 	if err != nil {
 		if !errors.Is(err, ErrCompacted) {
 			// An interrupted watch may have missed changes that the store compacts
@@ -327,17 +352,18 @@
 		return err
 	}
 	m.markConnected(time.Now())
-	m.applyEvents(events, revision)
+	m.applyEvents(events, next)
 	return nil
 }
 
 // replaceAll updates the copy from a complete listing.
-func (m *Mirror) replaceAll(found map[string]Item, revision uint64) {
+func (m *Mirror) replaceAll(found map[string]Item, listed revision.Revision) {
 	now := time.Now()
+	m.noteGeneration(listed, now)
 	changed := false
 	for k, item := range found {
 		old, ok := m.entries[k]
-		if ok && old.Revision >= item.Revision && !old.Unconfirmed {
+		if ok && !supersedes(item, old) {
 			continue
 		}
 		m.put(item)
@@ -351,29 +377,52 @@
 		m.remove(k, now)
 		changed = true
 	}
-	m.revision = max(m.revision, revision)
+	m.revision, m.peerRevision = m.later(listed), revision.Revision{}
 	m.publish(changed)
 }
 
-// applyEvents updates the copy from the changes up to revision.
-func (m *Mirror) applyEvents(events []Event, revision uint64) {
+// later returns r, unless the copy is ahead of it in the same generation.
+func (m *Mirror) later(r revision.Revision) revision.Revision {
+	if r.SameGeneration(m.revision) && m.revision.After(r) {
+		return m.revision
+	}
+	return r
+}
+
+// noteGeneration treats a restoration of the store like the end of an outage: owners need
+// time to write again what was lost.
+func (m *Mirror) noteGeneration(listed revision.Revision, now time.Time) {
+	if !m.revision.IsZero() && !listed.SameGeneration(m.revision) {
+		m.reconnectedAt = now
+	}
+}
+
+// supersedes reports whether an item of the store replaces an entry of the copy. Within a
+// generation the later one counts. Of another generation, the store has the say.
+func supersedes(item Item, old Entry) bool {
+	if !item.Revision.SameGeneration(old.Revision) {
+		return true
+	}
+	return old.Unconfirmed || item.Revision.After(old.Revision)
+}
+
+// applyEvents updates the copy from the changes up to a revision of the generation of the
+// copy.
+func (m *Mirror) applyEvents(events []Event, next revision.Revision) {
 	now := time.Now()
 	changed := false
 	for _, e := range events {
 		old, ok := m.entries[e.Key]
-		if ok && old.Revision >= e.Revision && !(old.Unconfirmed && !e.Deleted) {
-			continue
-		}
 		switch {
-		case !e.Deleted:
+		case !e.Deleted && (!ok || supersedes(e.Item, old)):
 			m.put(e.Item)
 			changed = true
-		case ok && !old.Unconfirmed:
+		case e.Deleted && ok && !old.Unconfirmed && supersedes(e.Item, old):
 			m.remove(e.Key, now)
 			changed = true
 		}
 	}
-	m.revision = max(m.revision, revision)
+	m.revision = m.later(next)
 	m.publish(changed)
 }
 
@@ -433,7 +482,7 @@
 func (m *Mirror) updateView(entries map[string]Entry) View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastView.Revision, m.lastView.Current = max(m.revision, m.peerRevision), !m.disconnected
+	m.lastView.Revision, m.lastView.Current = m.newestRevision(), !m.disconnected
 	if entries != nil {
 		m.lastView.Entries = entries
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // scriptedStore is an in-memory store that fails on demand.
 type scriptedStore struct {
 	mu       sync.Mutex
 	items    map[string]Item
-	revision uint64
+	revision revision.Revision
 	down     bool
 	lists    int
 	watches  int
@@ -23,14 +25,14 @@
 func (s *scriptedStore) set(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	s.items[key] = Item{Key: key, Value: []byte(value), Revision: s.revision}
 }
 
 func (s *scriptedStore) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	delete(s.items, key)
 }
 
@@ -59,24 +61,24 @@
 
 // Watch implements Store. It returns ErrCompacted after each change, so that each
 // change leads to a new listing.
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after revision.Revision, wait time.Duration) ([]Event, revision.Revision, error) {
 	end := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
 		s.watches++
-		down, changed, revision := s.down, s.revision > after, s.revision
+		down, changed, current := s.down, s.revision.After(after), s.revision
 		s.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, errDown
+			return nil, revision.Revision{}, errDown
 		case changed:
-			return nil, 0, ErrCompacted
+			return nil, revision.Revision{}, ErrCompacted
 		case time.Now().After(end):
-			return nil, revision, nil
+			return nil, current, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
