Keep what a restored store shows older than it is known

What callers could see: requests at servers that are leaving or gone, after a restoration that undid their notice. Cause: of another generation the store had the say, though it showed older values. Change: a value says itself how new it is: the version of a configuration; start, heartbeats and leaving of an upstream. After a restoration an entry yields only to a value that is as new. The configuration outlasts a restoration that undid it. A line tells what was kept. Evidence: TestLeavingUpstreamsOutlastRestoration failed and passes, with TestUpstreamThatIsListedAgainIsUsed and TestNewUpstreamOutlastsRestoration beside it.

--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -18,6 +18,7 @@
 // list, the role changes and the suspensions in line with it.
 func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
 	follower := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, log: p.Logger}, log: p.Logger}
+	versions := storedVersions{adapter: p.Adapter}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
 		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix, suspensionsPrefix},
@@ -25,6 +26,9 @@
 		Ephemeral: func(key string) bool {
 			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
 		},
+		VersionOf:          versions.of,
+		Keep:               versions.keep,
+		OnKept:             logKept(p.Logger),
 		Apply:              follower.apply,
 		OnConnectionChange: follower.connectionChanged,
 		FetchFromPeer:      snapshotFetcher{pool: p.Pool, ownAddress: p.Settings.Listen.Control, seeds: p.Settings.Seeds}.fetchNewer,
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -32,7 +32,10 @@
 type Instance struct {
 	ID string
 	// Incarnation increases with each start under the same id; 0 if unknown.
-	Incarnation   int64
+	Incarnation int64
+	// Heartbeats is the number of heartbeats that the instance had sent since its start
+	// when it described itself like this; 0 if unknown.
+	Heartbeats    uint64
 	Service       string
 	Address       string
 	FailureDomain string
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -110,6 +110,16 @@
 	// Ephemeral reports whether the store deletes the key when its owner is gone, so
 	// that the key may also vanish in an outage of the store.
 	Ephemeral func(key string) bool
+	// VersionOf returns the version that the value of a key names itself; ok is false if
+	// it names none. After a restoration of the store, an entry of the copy yields only to
+	// a value whose version is at least as high. VersionOf may be nil.
+	VersionOf func(key string, value []byte) (v Version, ok bool)
+	// Keep reports whether the entry of a key outlasts a restoration that undid it. Keep
+	// may be nil.
+	Keep func(key string) bool
+	// OnKept is called when an entry is kept although the restored store shows another
+	// value, at the given revision. OnKept may be nil.
+	OnKept func(kept Item, shown revision.Revision)
 	// Apply is called with each new view, always from the same goroutine.
 	Apply func(View)
 	// OnConnectionChange is called when the connection to the store is lost or
@@ -145,8 +155,16 @@
 	disconnected bool
 	slow         bool
 	backoff      time.Duration
-	// reconnectedAt is the time at which the last outage of the store ended.
-	reconnectedAt time.Time
+	// reconnectedAt is the time at which the last outage of the store ended, or at which
+	// it was restored. restoredAt is the time of the last restoration.
+	reconnectedAt, restoredAt time.Time
+	// gone holds the entries that were removed lately.
+	gone map[string]goneEntry
+	// relistAt is when all entries are to be listed again; zero if no time is set.
+	relistAt time.Time
+	// reported maps the keys of entries that are kept although the store shows another
+	// value to the revision of that value.
+	reported map[string]revision.Revision
 
 	// peerRevision is the newest revision received from another process. It is ahead
 	// of revision while the store is unavailable.
@@ -159,7 +177,13 @@
 
 // New returns an empty mirror. Run fills it.
 func New(o Options) *Mirror {
-	return &Mirror{options: o, entries: make(map[string]Entry), unconfirmedUntil: make(map[string]time.Time)}
+	return &Mirror{
+		options:          o,
+		entries:          make(map[string]Entry),
+		unconfirmedUntil: make(map[string]time.Time),
+		gone:             make(map[string]goneEntry),
+		reported:         make(map[string]revision.Revision),
+	}
 }
 
 // Run keeps the copy up to date until the context ends.
@@ -171,6 +195,7 @@
 			break
 		}
 		m.dropExpired(time.Now())
+		m.forgetGone(time.Now())
 		if err != nil {
 			m.handleFailure(ctx, err)
 			continue
@@ -251,7 +276,7 @@
 	}
 	changed := false
 	for k, e := range v.Entries {
-		if old, ok := m.entries[k]; !ok || e.Revision.After(old.Revision) {
+		if old, ok := m.entries[k]; !ok || m.isNewerAtPeer(e.Item, old) {
 			e.Unconfirmed = starting
 			m.entries[k] = e
 			changed = true
@@ -264,6 +289,14 @@
 	m.publish(changed)
 }
 
+// isNewerAtPeer reports whether an item of another process replaces an entry of the copy.
+func (m *Mirror) isNewerAtPeer(item Item, old Entry) bool {
+	if item.Revision.SameGeneration(old.Revision) {
+		return item.Revision.After(old.Revision)
+	}
+	return m.supersedes(item, old)
+}
+
 // newestRevision returns the revision up to which this process knows the store.
 func (m *Mirror) newestRevision() revision.Revision {
 	if m.peerRevision.After(m.revision) {
@@ -276,7 +309,7 @@
 // reports whether there were any.
 func (m *Mirror) dropAbsent(v View) (dropped bool) {
 	for k, e := range m.entries {
-		if _, found := v.Entries[k]; !found && !e.Revision.After(v.Revision) {
+		if _, found := v.Entries[k]; !found && !e.Revision.After(v.Revision) && !m.outlasts(e, v.Revision) {
 			m.drop(k)
 			dropped = true
 		}
@@ -337,6 +370,9 @@
 	if len(m.unconfirmedUntil) > 0 {
 		limit = min(limit, reconnectWindow/4)
 	}
+	if !m.relistAt.IsZero() {
+		limit = min(limit, max(minWatchWait/4, time.Until(m.relistAt)))
+	}
 	callCtx, cancel := context.WithTimeout(ctx, limit+m.timeout())
 	defer cancel()
 	events, next, err := m.options.Store.Watch(callCtx, m.options.WatchPrefix, m.revision, limit)
@@ -363,7 +399,11 @@
 	changed := false
 	for k, item := range found {
 		old, ok := m.entries[k]
-		if ok && !supersedes(item, old) {
+		if ok && !m.supersedes(item, old) {
+			m.noteKept(item, old)
+			continue
+		}
+		if !ok && m.isGone(item, now) {
 			continue
 		}
 		m.put(item)
@@ -371,7 +411,7 @@
 	}
 	for k, old := range m.entries {
 		_, inGrace := m.unconfirmedUntil[k]
-		if _, ok := found[k]; ok || (old.Unconfirmed && inGrace) {
+		if _, ok := found[k]; ok || (old.Unconfirmed && inGrace) || m.outlasts(old, listed) {
 			continue
 		}
 		m.remove(k, now)
@@ -389,23 +429,6 @@
 	return r
 }
 
-// noteGeneration treats a restoration of the store like the end of an outage: owners need
-// time to write again what was lost.
-func (m *Mirror) noteGeneration(listed revision.Revision, now time.Time) {
-	if !m.revision.IsZero() && !listed.SameGeneration(m.revision) {
-		m.reconnectedAt = now
-	}
-}
-
-// supersedes reports whether an item of the store replaces an entry of the copy. Within a
-// generation the later one counts. Of another generation, the store has the say.
-func supersedes(item Item, old Entry) bool {
-	if !item.Revision.SameGeneration(old.Revision) {
-		return true
-	}
-	return old.Unconfirmed || item.Revision.After(old.Revision)
-}
-
 // applyEvents updates the copy from the changes up to a revision of the generation of the
 // copy.
 func (m *Mirror) applyEvents(events []Event, next revision.Revision) {
@@ -414,10 +437,10 @@
 	for _, e := range events {
 		old, ok := m.entries[e.Key]
 		switch {
-		case !e.Deleted && (!ok || supersedes(e.Item, old)):
+		case !e.Deleted && (!ok || m.supersedes(e.Item, old)):
 			m.put(e.Item)
 			changed = true
-		case e.Deleted && ok && !old.Unconfirmed && supersedes(e.Item, old):
+		case e.Deleted && ok && !old.Unconfirmed && m.supersedes(e.Item, old) && !m.outlasts(old, next):
 			m.remove(e.Key, now)
 			changed = true
 		}
@@ -430,6 +453,8 @@
 func (m *Mirror) put(item Item) {
 	m.entries[item.Key] = Entry{Item: item}
 	delete(m.unconfirmedUntil, item.Key)
+	delete(m.gone, item.Key)
+	delete(m.reported, item.Key)
 }
 
 // remove drops an entry, or marks it as unconfirmed if an outage may be the reason
@@ -446,8 +471,10 @@
 }
 
 func (m *Mirror) drop(k string) {
+	m.rememberGone(m.entries[k])
 	delete(m.entries, k)
 	delete(m.unconfirmedUntil, k)
+	delete(m.reported, k)
 }
 
 // dropExpired drops the unconfirmed entries whose grace period has ended.
