Ask other gateways before the first listing counts

What callers could see: a gateway that starts after a restoration, while the store shows an older state, answers 404 on routes that all others serve, and sends requests to servers that are leaving. Cause: a starting gateway believed the store; it asked others only if the store was away. While the store is away all seeds are asked at once too.

--- a/internal/app/gateway_snapshot.go
+++ b/internal/app/gateway_snapshot.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
@@ -82,28 +83,56 @@
 	ownAddress string
 	// seeds lists the control addresses of gateways, separated by commas.
 	seeds string
+	log   *log.Logger
 }
 
 // errNoNewerSnapshot is returned when no other gateway has a newer snapshot.
 var errNoNewerSnapshot = errors.New("no other gateway has a newer snapshot of the store")
 
-// fetchNewer returns the view of the first gateway that has a newer revision than
-// after.
+// fetchNewer asks all seeds at once and returns the first view that is newer than after.
+// For the zero revision it waits for all answers and returns the newest view.
 func (s snapshotFetcher) fetchNewer(ctx context.Context, after revision.Revision) (mirror.View, error) {
-	err := errNoNewerSnapshot
-	for seed := range strings.SplitSeq(s.seeds, ",") {
-		if seed == "" || seed == s.ownAddress {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers, asked := s.askAll(ctx, after)
+	var newest mirror.View
+	for range asked {
+		view := <-answers
+		if len(view.Entries) == 0 {
 			continue
 		}
-		var view mirror.View
-		if view, err = s.fetchFrom(ctx, seed, after); err == nil && len(view.Entries) > 0 {
+		if !after.IsZero() {
 			return view, nil
 		}
+		if newest.Entries == nil || view.Revision.After(newest.Revision) {
+			newest = view
+		}
+	}
+	if newest.Entries == nil {
+		return mirror.View{}, errNoNewerSnapshot
 	}
-	if err == nil {
-		err = errNoNewerSnapshot
+	return newest, nil
+}
+
+// askAll requests the snapshot of each seed. The channel receives one view for each that
+// was asked, which is empty if it gave none.
+func (s snapshotFetcher) askAll(ctx context.Context, after revision.Revision) (answers <-chan mirror.View, asked int) {
+	seeds := strings.Split(s.seeds, ",")
+	views := make(chan mirror.View, len(seeds))
+	for _, seed := range seeds {
+		if seed == "" || seed == s.ownAddress {
+			continue
+		}
+		asked++
+		go func() {
+			view, err := s.fetchFrom(ctx, seed, after)
+			if err != nil {
+				s.log.Debug("no snapshot of another gateway", "seed", seed, "err", err)
+			}
+			views <- view
+		}()
 	}
-	return mirror.View{}, err
+	return views, asked
 }
 
 func (s snapshotFetcher) fetchFrom(ctx context.Context, seed string, after revision.Revision) (mirror.View, error) {
@@ -115,8 +144,12 @@
 		return mirror.View{}, errors.Wrapf(err, "request the snapshot of gateway %s", seed)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Status == http.StatusNoContent {
+	switch resp.Status {
+	case http.StatusOK:
+	case http.StatusNoContent:
 		return mirror.View{}, errNoNewerSnapshot
+	default:
+		return mirror.View{}, errors.Errorf("gateway %s answered the request for its snapshot with status %d", seed, resp.Status)
 	}
 	var msg snapshotMessage
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSnapshotBytes)).Decode(&msg); err != nil {
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -31,7 +31,7 @@
 		OnKept:             logKept(p.Logger),
 		Apply:              follower.apply,
 		OnConnectionChange: follower.connectionChanged,
-		FetchFromPeer:      snapshotFetcher{pool: p.Pool, ownAddress: p.Settings.Listen.Control, seeds: p.Settings.Seeds}.fetchNewer,
+		FetchFromPeer:      snapshotFetcher{pool: p.Pool, ownAddress: p.Settings.Listen.Control, seeds: p.Settings.Seeds, log: p.Logger}.fetchNewer,
 		MinInterval:        max(minStoreReadInterval, p.Settings.Store.ChangeDeadline/readsPerChangeDeadline),
 		MaxSilence:         p.Settings.Store.MaxSilence,
 	})
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -158,6 +158,8 @@
 	// reconnectedAt is the time at which the last outage of the store ended, or at which
 	// it was restored. restoredAt is the time of the last restoration.
 	reconnectedAt, restoredAt time.Time
+	// initialViews receives the view of another process at the start.
+	initialViews <-chan View
 	// gone holds the entries that were removed lately.
 	gone map[string]goneEntry
 	// relistAt is when all entries are to be listed again; zero if no time is set.
@@ -188,6 +190,7 @@
 
 // Run keeps the copy up to date until the context ends.
 func (m *Mirror) Run(ctx context.Context) error {
+	m.initialViews = m.fetchAtStart(ctx)
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := m.step(ctx)
@@ -258,65 +261,6 @@
 	wait.For(ctx, m.backoff)
 }
 
-// applyPeerView updates the copy from another process while the store is
-// unavailable.
-func (m *Mirror) applyPeerView(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	after := m.newestRevision()
-	v, err := m.options.FetchFromPeer(callCtx, after)
-	if err != nil {
-		return // the store is retried soon, and the other processes after it
-	}
-	// A starting process accepts any view. The entries are marked as unconfirmed,
-	// since the first listing decides which of them exist.
-	starting := m.revision.IsZero()
-	if !starting && (!v.Current || !v.Revision.After(after)) {
-		return
-	}
-	changed := false
-	for k, e := range v.Entries {
-		if old, ok := m.entries[k]; !ok || m.isNewerAtPeer(e.Item, old) {
-			e.Unconfirmed = starting
-			m.entries[k] = e
-			changed = true
-		}
-	}
-	if !starting {
-		m.peerRevision = v.Revision
-		changed = m.dropAbsent(v) || changed
-	}
-	m.publish(changed)
-}
-
-// isNewerAtPeer reports whether an item of another process replaces an entry of the copy.
-func (m *Mirror) isNewerAtPeer(item Item, old Entry) bool {
-	if item.Revision.SameGeneration(old.Revision) {
-		return item.Revision.After(old.Revision)
-	}
-	return m.supersedes(item, old)
-}
-
-// newestRevision returns the revision up to which this process knows the store.
-func (m *Mirror) newestRevision() revision.Revision {
-	if m.peerRevision.After(m.revision) {
-		return m.peerRevision
-	}
-	return m.revision
-}
-
-// dropAbsent drops the entries that no longer existed at the view's revision. It
-// reports whether there were any.
-func (m *Mirror) dropAbsent(v View) (dropped bool) {
-	for k, e := range m.entries {
-		if _, found := v.Entries[k]; !found && !e.Revision.After(v.Revision) && !m.outlasts(e, v.Revision) {
-			m.drop(k)
-			dropped = true
-		}
-	}
-	return dropped
-}
-
 // LastView returns the most recent view.
 func (m *Mirror) LastView() View {
 	m.mu.Lock()
@@ -351,6 +295,7 @@
 			}
 		}
 	}
+	m.adoptAtStart(ctx)
 	m.markConnected(time.Now())
 	m.synced = true
 	m.replaceAll(found, listed)
@@ -400,6 +345,7 @@
 	for k, item := range found {
 		old, ok := m.entries[k]
 		if ok && !m.supersedes(item, old) {
+			changed = m.confirm(old) || changed
 			m.noteKept(item, old)
 			continue
 		}
@@ -411,7 +357,11 @@
 	}
 	for k, old := range m.entries {
 		_, inGrace := m.unconfirmedUntil[k]
-		if _, ok := found[k]; ok || (old.Unconfirmed && inGrace) || m.outlasts(old, listed) {
+		if _, ok := found[k]; ok || (old.Unconfirmed && inGrace) {
+			continue
+		}
+		if m.outlasts(old, listed) {
+			changed = m.confirm(old) || changed
 			continue
 		}
 		m.remove(k, now)
@@ -457,6 +407,17 @@
 	delete(m.reported, item.Key)
 }
 
+// confirm marks an entry as confirmed and reports whether it was not.
+func (m *Mirror) confirm(e Entry) bool {
+	if !e.Unconfirmed {
+		return false
+	}
+	e.Unconfirmed = false
+	m.entries[e.Key] = e
+	delete(m.unconfirmedUntil, e.Key)
+	return true
+}
+
 // remove drops an entry, or marks it as unconfirmed if an outage may be the reason
 // for its removal.
 func (m *Mirror) remove(k string, now time.Time) {
