End leadership with the generation of the store, and let fencing tokens grow over restorations

What could have happened: after a restoration a second leader at once, while the first may act for the rest of its lease; a fencing token that was given out before, or a lower one, which engines refuse or, worse, take from two leaders; a leader that is confirmed by the revision number of another's key; a lease revoked that is another process's. Cause: the token was the bare revision number, and a term knew nothing of the store's generation. A term ends as soon as any answer of the store shows another generation; nobody campaigns for the time of a lease after that, or after its own start; a lease of another generation is not revoked. A token that would not grow is not used, with a line that says why.

--- a/internal/app/gateway_roles.go
+++ b/internal/app/gateway_roles.go
@@ -92,6 +92,7 @@
 		Name:       p.Settings.Instance,
 		Lease:      p.Settings.Leadership.Lease,
 		Clock:      p.Clock,
+		Generation: p.Adapter.Generations.Current,
 		LikelyFree: plans.leaderKeyFree.Load,
 		Logger:     p.Logger,
 	})
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -1,6 +1,11 @@
 // Package leadership elects one process at a time to act on behalf of all. The
 // leader is the process that created a key in the store under its lease. The
-// revision of the key is the fencing token; it increases with each new leader.
+// fencing token is made from the revision of the key; it increases with each new leader.
+//
+// A restoration of the store from an older copy may undo the lease, and its ID may be
+// given to another process. A term therefore ends with the generation of the store, and
+// for the time of a lease after the restoration no process campaigns: the leader before
+// may not have heard of it yet.
 package leadership
 
 import (
@@ -11,6 +16,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // ErrLeaseEnded is returned by Store.Renew if the lease no longer exists.
@@ -26,10 +33,10 @@
 	Revoke(ctx context.Context, lease uint64) error
 	// Create writes the key under the lease. ok is false if the key already
 	// exists.
-	Create(ctx context.Context, key string, value []byte, lease uint64) (revision uint64, ok bool, err error)
-	// Read returns the value and the revision of the key; the revision is 0 if
+	Create(ctx context.Context, key string, value []byte, lease uint64) (at revision.Revision, ok bool, err error)
+	// Read returns the value and the revision of the key; the revision is zero if
 	// the key does not exist.
-	Read(ctx context.Context, key string) (value []byte, revision uint64, err error)
+	Read(ctx context.Context, key string) (value []byte, at revision.Revision, err error)
 }
 
 const (
@@ -57,6 +64,8 @@
 	// Clock is the clock by which the elector measures leases; nil means
 	// Uptime.
 	Clock Clock
+	// Generation returns the generation of the store, as far as this process knows it.
+	Generation func() uint64
 	// LikelyFree reports, without a call to the store, whether the key seems
 	// not to exist. The elector campaigns only then.
 	LikelyFree func() bool
@@ -67,6 +76,8 @@
 type Term struct {
 	// Fence is the fencing token.
 	Fence uint64
+	// Revision is the revision at which the key was created.
+	Revision revision.Revision
 	// Since is when leadership was obtained, on the clock of the elector.
 	Since time.Duration
 }
@@ -76,6 +87,12 @@
 	opts  Options
 	lease uint64
 	held  atomic.Pointer[heldTerm]
+	// generation is that of the store when the elector looked last, and campaignFrom the
+	// earliest time of a campaign in it.
+	generation   uint64
+	campaignFrom time.Duration
+	// lastFence is the highest fencing token that this process has had.
+	lastFence uint64
 }
 
 // heldTerm is the current term and the time until which it is valid without
@@ -114,7 +131,7 @@
 // or cannot be sure of it.
 func (e *Elector) Term() (Term, bool) {
 	h := e.held.Load()
-	if h == nil || e.opts.Clock() >= h.until {
+	if h == nil || e.opts.Clock() >= h.until || e.opts.Generation() != h.term.Revision.Generation {
 		return Term{}, false
 	}
 	return h.term, true
@@ -125,13 +142,13 @@
 func (e *Elector) Confirm(ctx context.Context, t Term) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, revision, err := e.opts.Store.Read(ctx, e.opts.Key)
+	_, current, err := e.opts.Store.Read(ctx, e.opts.Key)
 	if err != nil {
 		return err
 	}
-	if revision != t.Fence {
+	if current != t.Revision {
 		e.held.Store(nil)
-		return errors.Errorf("leadership term has ended: key %q has revision %d instead of %d", e.opts.Key, revision, t.Fence)
+		return errors.Errorf("leadership term has ended: key %q has revision %s instead of %s", e.opts.Key, current, t.Revision)
 	}
 	return nil
 }
@@ -139,12 +156,14 @@
 // Run campaigns for leadership and renews it until the context ends, then
 // releases it.
 func (e *Elector) Run(ctx context.Context) error {
+	e.beginGeneration()
 	for ctx.Err() == nil {
+		e.checkGeneration()
 		pause := pollInterval
 		if e.held.Load() != nil {
 			pause = e.opts.Lease / renewalsPerLease
 			e.renew(ctx)
-		} else if e.opts.LikelyFree() {
+		} else if e.opts.LikelyFree() && e.opts.Clock() >= e.campaignFrom {
 			e.campaign(ctx)
 		}
 		select {
@@ -156,8 +175,28 @@
 	return nil
 }
 
+// beginGeneration notes the generation of the store. Until a lease has passed, the leader
+// of the generation before may still act.
+func (e *Elector) beginGeneration() {
+	e.generation = e.opts.Generation()
+	e.campaignFrom = e.opts.Clock() + e.opts.Lease
+}
+
+// checkGeneration ends the term if the store was restored. The lease is not revoked: in the
+// restored store its ID may be that of another process.
+func (e *Elector) checkGeneration() {
+	if e.opts.Generation() == e.generation {
+		return
+	}
+	e.beginGeneration()
+	if h := e.held.Swap(nil); h != nil {
+		e.opts.Logger.Warn("right lost: the store was restored from an older copy", "key", e.opts.Key, "fence", h.term.Fence, "generation", e.generation)
+	}
+}
+
 // resign ends the term by revoking the lease.
 func (e *Elector) resign() {
+	e.checkGeneration()
 	if e.held.Swap(nil) == nil {
 		return
 	}
@@ -196,14 +235,35 @@
 		e.opts.Logger.Debug("cannot obtain a lease for leadership", "key", e.opts.Key, "err", err)
 		return
 	}
-	revision, ok, err := e.opts.Store.Create(callCtx, e.opts.Key, []byte(e.opts.Name), lease)
+	at, ok, err := e.opts.Store.Create(callCtx, e.opts.Key, []byte(e.opts.Name), lease)
 	if err != nil || !ok {
 		// If the key was created but the answer was lost, nobody renews the lease,
 		// and the store removes the key when the lease expires.
 		e.opts.Logger.Debug("leadership not obtained", "key", e.opts.Key, "err", err)
 		return
 	}
-	e.lease = lease
-	e.held.Store(&heldTerm{term: Term{Fence: revision, Since: e.opts.Clock()}, until: requestedAt + e.opts.Lease - expiryMargin})
-	e.opts.Logger.Info("right obtained", "key", e.opts.Key, "fence", revision)
+	fence, err := e.fence(at)
+	if err != nil {
+		// Nobody renews the lease, so others may try when it expires.
+		e.opts.Logger.Error("leadership not used: its fencing token would not increase", "key", e.opts.Key, "revision", at, "last_fence", e.lastFence, "err", err)
+		return
+	}
+	e.lease, e.lastFence = lease, fence
+	e.held.Store(&heldTerm{term: Term{Fence: fence, Revision: at, Since: e.opts.Clock()}, until: requestedAt + e.opts.Lease - expiryMargin})
+	e.opts.Logger.Info("right obtained", "key", e.opts.Key, "fence", fence, "revision", at)
+}
+
+// errFenceUsed reports a fencing token that is not above an earlier one of this process.
+var errFenceUsed = errors.New("the revision of the store is not above that of an earlier term; it was restored, and does not tell")
+
+// fence returns the fencing token for a key that was created at a revision.
+func (e *Elector) fence(at revision.Revision) (uint64, error) {
+	fence, err := at.Fence()
+	if err != nil {
+		return 0, err
+	}
+	if fence <= e.lastFence {
+		return 0, errFenceUsed
+	}
+	return fence, nil
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/revision"
 )
 
 // fakeStore is a Store with a single key.
@@ -72,30 +74,30 @@
 	return nil
 }
 
-func (s *fakeStore) Create(_ context.Context, _ string, _ []byte, id uint64) (uint64, bool, error) {
+func (s *fakeStore) Create(_ context.Context, _ string, _ []byte, id uint64) (revision.Revision, bool, error) {
 	done, err := s.call()
 	if err != nil {
-		return 0, false, err
+		return revision.Revision{}, false, err
 	}
 	defer done()
 	if s.holder != 0 {
-		return 0, false, nil
+		return revision.Revision{}, false, nil
 	}
 	s.holder = id
 	s.revision++
-	return s.revision, true, nil
+	return revision.Revision{Number: s.revision}, true, nil
 }
 
-func (s *fakeStore) Read(context.Context, string) ([]byte, uint64, error) {
+func (s *fakeStore) Read(context.Context, string) ([]byte, revision.Revision, error) {
 	done, err := s.call()
 	if err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	defer done()
 	if s.holder == 0 {
-		return nil, 0, nil
+		return nil, revision.Revision{}, nil
 	}
-	return nil, s.revision, nil
+	return nil, revision.Revision{Number: s.revision}, nil
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -117,7 +119,7 @@
 		for range 3 {
 			e := New(Options{
 				Store: store, Key: "k", Lease: lease, LikelyFree: func() bool { return true }, Logger: log.New(io.Discard),
-				Clock: func() time.Duration { return time.Since(start) },
+				Clock: func() time.Duration { return time.Since(start) }, Generation: func() uint64 { return 0 },
 			})
 			electors = append(electors, e)
 			wait.Go(func() { _ = e.Run(ctx) })
