Register again if a restored store has forgotten the registration

What could have happened: a gateway missing in the list of gateways, so that the others divide limits among too few; a renewal or a revocation of a lease that the restored store has given to another process. Cause: the registrar trusted the ID of its lease. Change: when the generation changes, it reads whether its key is bound to its lease. A restoration between grant and write counts as a failure.

--- a/internal/app/gateway_list.go
+++ b/internal/app/gateway_list.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	registrar := &presence.Registrar{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Logger: p.Logger}
+	registrar := &presence.Registrar{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Generation: p.Adapter.Generations.Current, Logger: p.Logger}
 	node := gossip.New(gossip.Options{
 		Name:        p.Settings.Instance,
 		Incarnation: rand.Uint64(),
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -24,6 +24,8 @@
 	// Put writes the key under the lease; lease 0 means that the key has no
 	// lease.
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// IsBound reports whether the key exists and is bound to the lease.
+	IsBound(ctx context.Context, key string, lease uint64) (bool, error)
 }
 
 const (
@@ -37,16 +39,25 @@
 	callTimeout = time.Second
 )
 
+// errRestoredMeanwhile reports that the store was restored between the grant of a lease and
+// the write under it.
+var errRestoredMeanwhile = errors.New("the store was restored while the process registered")
+
 // Registrar keeps the registration of one process.
 type Registrar struct {
 	Store Store
 	// Key and Value are the registration.
-	Key    string
-	Value  []byte
-	Logger *log.Logger
+	Key   string
+	Value []byte
+	// Generation returns the generation of the store, as far as this process knows it.
+	Generation func() uint64
+	Logger     *log.Logger
 
-	lease   uint64 // 0 while not registered
-	failing bool   // the last attempt failed
+	lease uint64 // 0 while not registered
+	// generation is that of the store in which the lease was last known to be this
+	// process's own.
+	generation uint64
+	failing    bool // the last attempt failed
 }
 
 // Run keeps the registration until the context ends, then removes it.
@@ -68,12 +79,40 @@
 	}
 	endCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := r.Store.Revoke(endCtx, r.lease); err != nil {
+	if err := r.end(endCtx); err != nil {
 		r.Logger.Info("registration not removed; it ends when the lease expires", "key", r.Key, "err", err)
 	}
 	return nil
 }
 
+// end revokes the lease, if it is still this process's own.
+func (r *Registrar) end(ctx context.Context) error {
+	if err := r.checkGeneration(ctx); err != nil || r.lease == 0 {
+		return err
+	}
+	return r.Store.Revoke(ctx, r.lease)
+}
+
+// checkGeneration gives the lease up if the store was restored and no longer binds the key
+// to it. The ID of the lease may then be that of another process. Most leases outlast a
+// restoration, so that the processes do not all register again at once.
+func (r *Registrar) checkGeneration(ctx context.Context) error {
+	current := r.Generation()
+	if r.lease == 0 || current == r.generation {
+		return nil
+	}
+	bound, err := r.Store.IsBound(ctx, r.Key, r.lease)
+	if err != nil {
+		return err
+	}
+	if !bound {
+		r.Logger.Info("registration lost with a restoration of the store; registering again", "key", r.Key, "generation", current)
+		r.lease = 0
+	}
+	r.generation = current
+	return nil
+}
+
 // logChange logs when renewals start to fail and when they succeed again.
 func (r *Registrar) logChange(ctx context.Context, err error) {
 	switch {
@@ -91,6 +130,9 @@
 func (r *Registrar) renewOrRegister(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if err := r.checkGeneration(ctx); err != nil {
+		return err
+	}
 	if r.lease != 0 {
 		err := r.Store.Renew(ctx, r.lease)
 		if !errors.Is(err, leadership.ErrLeaseEnded) {
@@ -102,9 +144,13 @@
 	if err != nil {
 		return err
 	}
+	generation := r.Generation()
 	if err := r.Store.Put(ctx, r.Key, r.Value, lease); err != nil {
 		return err
 	}
-	r.lease = lease
+	if r.Generation() != generation {
+		return errRestoredMeanwhile
+	}
+	r.lease, r.generation = lease, generation
 	return nil
 }
