Apply the plan of a role change once, whatever revision the store shows it under

What could have happened: engines paused for up to 16 s for a role change of before the restoration. Cause: a plan was known by its revision. Change: a plan carries the leader's fencing token and a count; only a later one is applied.

--- a/internal/app/gateway_roles.go
+++ b/internal/app/gateway_roles.go
@@ -28,8 +28,10 @@
 	tables  *routing.Holder
 	// leaderKeyFree reports whether the store has no leader key.
 	leaderKeyFree atomic.Bool
-	// lastRevision is the store revision of the plan that was read last.
+	// lastRevision is the store revision of the plan that was read last, lastPlan the
+	// latest plan that was applied.
 	lastRevision revision.Revision
+	lastPlan     roles.Plan
 }
 
 func newRolePlanReader(g *gateway.Gateway, tables *routing.Holder) *rolePlanReader {
@@ -52,6 +54,12 @@
 		logger.Warn("role change plan cannot be decoded; ignoring it", "store_revision", entry.Revision, "err", err)
 		return
 	}
+	// A restored store may show a plan that was carried out long ago.
+	if plan.Fence > 0 && !plan.IsAfter(r.lastPlan) {
+		logger.Info("role change plan ignored: it was applied before, or a later one was", "fence", plan.Fence, "number", plan.Number, "store_revision", entry.Revision)
+		return
+	}
+	r.lastPlan = plan
 	until := time.Now().Add(roles.MaxRoleChangeTime(longestRoleChange(r.tables.Table())))
 	for _, engine := range plan.Engines {
 		r.gateway.PauseForRoleChange(engine.ID, engine.Incarnation, until)
--- a/internal/app/gateway_versions.go
+++ b/internal/app/gateway_versions.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"encoding/json"
 	"strings"
 
 	"github.com/charmbracelet/log"
@@ -8,6 +9,7 @@
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/revision"
+	"github.com/fescueslip/fescueslip/internal/roles"
 )
 
 // storedVersions tells which of two values of a key in the store is newer by what the
@@ -32,6 +34,12 @@
 			return mirror.Version{}, false
 		}
 		return instanceVersion(instance), true
+	case key == roles.PlanKey:
+		var plan roles.Plan
+		if err := json.Unmarshal(value, &plan); err != nil || plan.Fence == 0 {
+			return mirror.Version{}, false
+		}
+		return mirror.Version{plan.Fence, plan.Number}, true
 	default:
 		return mirror.Version{}, false
 	}
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -76,6 +76,15 @@
 type Plan struct {
 	Engines []PlannedEngine `json:"engines"`
 	Role    string          `json:"role"`
+	// Fence is the fencing token of the leader, and Number counts its plans. They are 0 in
+	// plans of an earlier release.
+	Fence  uint64 `json:"fence,omitempty"`
+	Number uint64 `json:"number,omitempty"`
+}
+
+// IsAfter reports whether p was made after o. Plans of an earlier release do not tell.
+func (p Plan) IsAfter(o Plan) bool {
+	return cmp.Or(cmp.Compare(p.Fence, o.Fence), cmp.Compare(p.Number, o.Number)) > 0
 }
 
 // PlannedEngine identifies one engine of a plan.
@@ -176,6 +185,8 @@
 	balancers map[string]*rebalance.Balancer // by service
 	// nextOrderAt is the earliest time of the next order, by service.
 	nextOrderAt map[string]time.Duration
+	// plans counts the plans that this process has published.
+	plans uint64
 }
 
 // New returns a manager.
@@ -249,7 +260,7 @@
 	m.opts.Logger.Info("role change decided", "service", service, "role", role.String(), "prefill_engines", len(prefill), "decode_engines", len(decode),
 		"requests", d.Requests, "prefill_ms", int(d.PrefillSeconds*1000), "decode_ms", int(d.DecodeSeconds*1000))
 	chosen := leastLoaded(from, min(batchSize(d, len(prefill), len(decode)), len(from)-1))
-	if err := m.publishPlan(ctx, chosen, role, MaxRoleChangeTime(roleChangeTime)); err != nil {
+	if err := m.publishPlan(ctx, term, chosen, role, MaxRoleChangeTime(roleChangeTime)); err != nil {
 		return errors.Wrapf(err, "publish the role change plan of service %s", service)
 	}
 	if err := m.opts.Elector.Confirm(ctx, term); err != nil {
@@ -328,8 +339,9 @@
 }
 
 // publishPlan writes the plan under a lease, so that it is removed after ttl.
-func (m *Manager) publishPlan(ctx context.Context, engines []*fleet.Upstream, role fleet.Role, ttl time.Duration) error {
-	plan := Plan{Role: role.String()}
+func (m *Manager) publishPlan(ctx context.Context, term leadership.Term, engines []*fleet.Upstream, role fleet.Role, ttl time.Duration) error {
+	m.plans++
+	plan := Plan{Role: role.String(), Fence: term.Fence, Number: m.plans}
 	for _, u := range engines {
 		plan.Engines = append(plan.Engines, PlannedEngine{ID: u.Instance().ID, Incarnation: u.Instance().Incarnation})
 	}
