Write suspensions and lifts again that a restoration of the store undid

What callers could see: a gateway that starts runs requests again that crash upstreams, or refuses such that an operator has let run again. Cause: the store was the only place where a starting gateway could learn of them. The value keeps the revision at which it was written first, so that a lift still comes after the suspension that it lifts, and nothing is applied twice.

--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -16,8 +16,8 @@
 
 // followStore mirrors the store and keeps the routing table, the fleet, the gateway
 // list, the role changes and the suspensions in line with it.
-func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
-	follower := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, log: p.Logger}, log: p.Logger}
+func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, writer *suspensionWriter, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
+	follower := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, writer: writer, log: p.Logger}, log: p.Logger}
 	versions := storedVersions{adapter: p.Adapter}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
--- a/internal/app/gateway_suspensions.go
+++ b/internal/app/gateway_suspensions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -11,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"github.com/fescueslip/fescueslip/internal/gateway"
+	"github.com/fescueslip/fescueslip/internal/leadership"
 	"github.com/fescueslip/fescueslip/internal/mirror"
 	"github.com/fescueslip/fescueslip/internal/presence"
 	"github.com/fescueslip/fescueslip/internal/quarantine"
@@ -44,6 +46,29 @@
 	// Subjects lists the fingerprints that a request must have to be refused. It is
 	// missing in entries of an earlier release, whose key holds the only one.
 	Subjects []quarantine.Fingerprint `json:"subjects,omitempty"`
+	// WrittenAt is the revision at which the suspension was written first. It is missing
+	// unless a restoration of the store undid that and a gateway wrote it again.
+	WrittenAt *revision.Revision `json:"written_at,omitempty"`
+}
+
+// liftEntry is the value of a lift in the store.
+type liftEntry struct {
+	// By is the gateway that the operator asked.
+	By string `json:"by"`
+	// WrittenAt is as in suspensionEntry.
+	WrittenAt *revision.Revision `json:"written_at,omitempty"`
+}
+
+// writtenAt returns the revision at which the value of a suspension or a lift was written
+// first. It orders suspensions and lifts over restorations of the store.
+func writtenAt(entry mirror.Entry) revision.Revision {
+	var value struct {
+		WrittenAt *revision.Revision `json:"written_at"`
+	}
+	if err := json.Unmarshal(entry.Value, &value); err != nil || value.WrittenAt == nil {
+		return entry.Revision
+	}
+	return *value.WrittenAt
 }
 
 // upstreamsOf returns the names of the upstreams to which the processes belong.
@@ -67,14 +92,24 @@
 	return quarantine.FingerprintOf(parts...).String()
 }
 
-func newSuspensionWriter(p GatewayProcess) *suspensionWriter {
-	return &suspensionWriter{ownName: p.Settings.Instance, store: p.Adapter.Presence, log: p.Logger}
+func newSuspensionWriter(p GatewayProcess, gateways *gatewayList) *suspensionWriter {
+	return &suspensionWriter{
+		ownName:    p.Settings.Instance,
+		store:      p.Adapter.Presence,
+		creator:    p.Adapter.Leadership,
+		generation: p.Adapter.Generations.Current,
+		gateways:   gateways.recentCount,
+		log:        p.Logger,
+		undone:     make(map[string]mirror.Entry),
+	}
 }
 
-// shareSuspensions writes this gateway's own suspensions to the store.
+// shareSuspensions writes this gateway's own suspensions to the store, and those that a
+// restoration undid.
 func shareSuspensions(w *suspensionWriter, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
 	lc.Append(fx.StartHook(func() {
 		b.run("suspensions", func(ctx context.Context) error { return w.run(ctx, g.Suspensions()) })
+		b.run("undone suspensions", w.runUndone)
 	}))
 }
 
@@ -83,7 +118,17 @@
 type suspensionWriter struct {
 	ownName string
 	store   presence.Store
-	log     *log.Logger
+	creator leadership.Store
+	// generation returns the generation of the store, and gateways the number of
+	// gateways.
+	generation func() uint64
+	gateways   func() int
+	log        *log.Logger
+
+	mu sync.Mutex
+	// undone holds the entries that a restoration of the store undid and that nobody has
+	// written again yet, by key.
+	undone map[string]mirror.Entry
 }
 
 func (w *suspensionWriter) run(ctx context.Context, found <-chan quarantine.Suspension) error {
@@ -122,13 +167,18 @@
 func (w *suspensionWriter) put(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, suspensionWriteTimeout)
 	defer cancel()
-	lease, err := w.store.Grant(ctx, quarantine.SuspensionDuration)
+	lease, err := w.grant(ctx)
 	if err != nil {
 		return err
 	}
 	return w.store.Put(ctx, key, value, lease)
 }
 
+// grant creates a lease for the time of a suspension.
+func (w *suspensionWriter) grant(ctx context.Context) (uint64, error) {
+	return w.store.Grant(ctx, quarantine.SuspensionDuration)
+}
+
 // errNotSuspended is the error of a lift of a fingerprint that is not suspended.
 var errNotSuspended = errors.New("no request is suspended because of this fingerprint; /debug/state lists the suspensions")
 
@@ -138,7 +188,11 @@
 	if !g.LiftSuspension(f, time.Now()) {
 		return errNotSuspended
 	}
-	if err := w.put(ctx, suspensionsPrefix+liftedPrefix+f.String(), []byte(`{"by":"`+w.ownName+`"}`)); err != nil {
+	value, err := json.Marshal(liftEntry{By: w.ownName})
+	if err != nil {
+		return err
+	}
+	if err := w.put(ctx, suspensionsPrefix+liftedPrefix+f.String(), value); err != nil {
 		return errors.Wrap(err, "lifted here only; repeat the command when the store can be reached")
 	}
 	w.log.Info("suspension lifted by an operator", "subject", f)
@@ -148,8 +202,10 @@
 // suspensionReader applies the suspensions that other gateways stored, and the lifts.
 type suspensionReader struct {
 	gateway *gateway.Gateway
+	writer  *suspensionWriter
 	log     *log.Logger
-	// appliedRevisions maps keys to the store revision that was applied last.
+	// appliedRevisions maps keys to the revision at which the value that was applied last
+	// was written first.
 	appliedRevisions map[string]revision.Revision
 }
 
@@ -157,10 +213,11 @@
 // lifts what operators have lifted since, and forgets keys that are no longer in the
 // view.
 func (r *suspensionReader) apply(view mirror.View) {
+	r.writer.noteUndone(view)
 	lifts := r.applyLifts(view)
 	for key, entry := range view.Entries {
 		name, ok := strings.CutPrefix(key, suspensionsPrefix)
-		if !ok || strings.HasPrefix(name, liftedPrefix) || !r.isNew(key, entry.Revision) {
+		if !ok || strings.HasPrefix(name, liftedPrefix) || !r.isNew(key, writtenAt(entry)) {
 			continue
 		}
 		suspension, err := readSuspension(name, entry.Value)
@@ -168,7 +225,7 @@
 			r.log.Warn("suspension cannot be decoded; ignoring it", "key", key, "store_revision", entry.Revision, "err", err)
 			continue
 		}
-		if lifts.after(suspension, entry.Revision) {
+		if lifts.after(suspension, writtenAt(entry)) {
 			continue
 		}
 		r.gateway.Suspend(suspension, time.Now())
@@ -223,8 +280,8 @@
 			}
 			continue
 		}
-		lifts[f] = entry.Revision
-		if r.isNew(key, entry.Revision) && r.gateway.LiftSuspension(f, time.Now()) {
+		lifts[f] = writtenAt(entry)
+		if r.isNew(key, lifts[f]) && r.gateway.LiftSuspension(f, time.Now()) {
 			r.log.Info("suspension lifted by an operator at another gateway", "subject", f, "store_revision", entry.Revision)
 		}
 	}
--- a/internal/app/gateway_versions.go
+++ b/internal/app/gateway_versions.go
@@ -57,7 +57,9 @@
 
 // keep reports whether the entry of a key outlasts a restoration that undid it. It
 // implements mirror.Options.Keep.
-func (s storedVersions) keep(key string) bool { return key == s.adapter.ConfigurationKey }
+func (s storedVersions) keep(key string) bool {
+	return key == s.adapter.ConfigurationKey || strings.HasPrefix(key, suspensionsPrefix)
+}
 
 // logKept returns a function that logs entries that are kept although the restored store
 // shows another value. It implements mirror.Options.OnKept.
