Take a run that got beyond its first event for proof that its prompt parts are sound

What callers could see: requests with a sound part refused for ten minutes, after engines had crashed at three moments for other reasons. Cause: a run proved its parts sound only after 250 ms of output. Where engines are up for half a second between crashes, no run lasts that long; runs of 50 to 100 ms counted against the part. Change: two events of a run clear its parts. The line of an interrupted run has run_events. Evidence: TestRunBeyondItsFirstEventIsSound.

--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -14,9 +14,9 @@
 const (
 	// maxQueuedSuspensions limits the suspensions that wait to be written to the store.
 	maxQueuedSuspensions = 64
-	// soundOutput is how long the output of a run lasts before the run proves the parts
-	// of its prompt sound. A part that crashes engines does so when the output begins.
-	soundOutput = 250 * time.Millisecond
+	// soundEvents is the number of events after which a run proves the parts of its prompt
+	// sound. A part that crashes engines does so when the output begins.
+	soundEvents = 2
 )
 
 // crashDetector prevents requests that crash upstreams from being sent again.
@@ -86,12 +86,13 @@
 // response had begun.
 func (g *Gateway) logInterruption(c *Call, instance *fleet.Instance, relay *streamRelay) {
 	var output time.Duration
-	began := false
+	events := 0
 	if relay != nil {
-		output, began = relay.runOutput()
+		output = relay.runOutput()
+		events = relay.runEvents
 	}
 	g.Logger.Info("run interrupted", "request", c.ID, "upstream", instance.ID, "incarnation", instance.Incarnation,
-		"subjects", c.subjects(), "shared_parts", c.Model.SharedParts, "output_began", began, "output_ms", output.Milliseconds())
+		"subjects", c.subjects(), "shared_parts", c.Model.SharedParts, "run_events", events, "output_ms", output.Milliseconds())
 }
 
 // recordCompletion records that the call ran to completion.
@@ -123,21 +124,20 @@
 }
 
 // recordStreamEnd records whether the relayed stream of an upstream ended normally. A
-// run whose output had lasted for soundOutput did not crash its upstream because of a
-// part of its prompt.
+// run that had gone on after its first event did not crash its upstream because of a part
+// of its prompt.
 func (g *Gateway) recordStreamEnd(ctx context.Context, c *Call, instance *fleet.Instance, relay *streamRelay, err error) {
-	output, began := relay.runOutput()
 	if err != nil && ctx.Err() == nil && !errors.Is(err, errClientDisconnected) {
 		g.Metrics.brokenAnswer(c.Service.Name, relay.framing, err)
 	}
 	switch {
 	case err == nil:
 		g.recordCompletion(c, time.Now())
-		if began {
+		if relay.runEvents > 0 {
 			g.recordSound(c)
 		}
 	case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
-	case began && output >= soundOutput:
+	case relay.provedSound():
 		g.recordInterruption(c, instance, relay, []quarantine.Fingerprint{c.fingerprint()})
 	default:
 		g.recordInterruption(c, instance, relay, c.subjects())
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -31,8 +31,10 @@
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
 	onFirstEvent func()
-	// onSound, if set, is called once in a run, when its output has lasted for
-	// soundOutput.
+	// runEvents is the number of events of the current run.
+	runEvents int
+	// onSound, if set, is called once in a run, when the run has proved the parts of its
+	// prompt sound.
 	onSound func()
 }
 
@@ -64,7 +66,7 @@
 // which the run before sent only a part.
 func (s *streamRelay) beginRun(resp *exchange.Response) {
 	s.pending = s.pending[:0]
-	s.runStart = time.Time{}
+	s.runStart, s.runEvents = time.Time{}, 0
 	s.framing = resp.Framing
 	s.hasEvents = isEventStream(resp)
 }
@@ -80,15 +82,18 @@
 	return strings.EqualFold(mediaType, eventStreamType)
 }
 
-// runOutput returns the time from the first to the last event of the current run, and
-// whether the run has had an event at all.
-func (s *streamRelay) runOutput() (time.Duration, bool) {
+// runOutput returns the time from the first to the last event of the current run.
+func (s *streamRelay) runOutput() time.Duration {
 	if s.runStart.IsZero() {
-		return 0, false
+		return 0
 	}
-	return s.lastWrite.Sub(s.runStart), true
+	return s.lastWrite.Sub(s.runStart)
 }
 
+// provedSound reports whether the current run has gone on after the beginning of its
+// output, which a part of its prompt that crashes engines would have prevented.
+func (s *streamRelay) provedSound() bool { return s.runEvents >= soundEvents }
+
 // relayBufferSize is the size of the read buffer of a relayed stream, in bytes.
 const relayBufferSize = 4 << 10
 
@@ -152,17 +157,19 @@
 	if s.runStart.IsZero() {
 		s.runStart = s.lastWrite
 	}
-	if s.onSound != nil && s.lastWrite.Sub(s.runStart) >= soundOutput {
-		s.onSound()
-		s.onSound = nil
-	}
 	if s.firstWrite.IsZero() {
 		s.firstWrite = s.lastWrite
 		if s.onFirstEvent != nil {
 			s.onFirstEvent()
 		}
 	}
-	s.events += countEvents(s.pending[:end])
+	events := countEvents(s.pending[:end])
+	s.events += events
+	s.runEvents += events
+	if s.onSound != nil && s.provedSound() {
+		s.onSound()
+		s.onSound = nil
+	}
 	s.updateLastID(s.pending[:end])
 	if _, err := s.w.Write(s.pending[:end]); err != nil {
 		return err
