Pause between listings of a store that seems to be restored all the time

What could have happened: answers of two generations in turn (two copies of the store behind one address, say) made each gateway list the store without a pause. Cause: a restoration, as a compacted history, leads to a new listing at once. Change: the third in a row waits 0.4 s. Evidence: TestCallRateOfAlternatingGenerations did not end before, and passes.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -93,6 +93,8 @@
 	// minBackoff and maxBackoff limit the delay after a failed call.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
+	// immediateRelists is how often in a row all entries are listed again without a delay.
+	immediateRelists = 2
 	// unconfirmedGrace is how long an item that vanished during an outage is kept
 	// after the reconnect. Live owners write it again within that time.
 	unconfirmedGrace = 2200 * time.Millisecond
@@ -155,6 +157,9 @@
 	disconnected bool
 	slow         bool
 	backoff      time.Duration
+	// relists is the number of times in a row that all entries had to be listed again
+	// because the store had compacted its history or was restored.
+	relists int
 	// reconnectedAt is the time at which the last outage of the store ended, or at which
 	// it was restored. restoredAt is the time of the last restoration.
 	reconnectedAt, restoredAt time.Time
@@ -239,11 +244,14 @@
 }
 
 // handleFailure makes the next step list all entries if the store has compacted the
-// changes or was restored. After any other error it marks the store as disconnected,
-// updates the copy from another process if possible, and waits.
+// changes or was restored, and waits only if that goes on. After any other error it marks
+// the store as disconnected, updates the copy from another process if possible, and waits.
 func (m *Mirror) handleFailure(ctx context.Context, err error) {
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		m.synced = false
+		if m.relists++; m.relists > immediateRelists {
+			wait.For(ctx, maxBackoff)
+		}
 		return
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -332,6 +340,7 @@
 		}
 		return err
 	}
+	m.relists = 0
 	m.markConnected(time.Now())
 	m.applyEvents(events, next)
 	return nil
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -153,3 +153,36 @@
 		}
 	})
 }
+
+// alternatingStore is a store whose answers belong to two generations in turn.
+type alternatingStore struct{ calls int }
+
+func (s *alternatingStore) next() revision.Revision {
+	s.calls++
+	return revision.Revision{Generation: uint64(1 + s.calls%2), Number: 1}
+}
+
+// List implements Store.
+func (s *alternatingStore) List(context.Context, string, string) (Page, error) {
+	return Page{Revision: s.next()}, nil
+}
+
+// Watch implements Store.
+func (s *alternatingStore) Watch(context.Context, string, revision.Revision, time.Duration) ([]Event, revision.Revision, error) {
+	return nil, s.next(), nil
+}
+
+// Guards against calls without a pause to a store that seems to be restored all the time.
+func TestCallRateOfAlternatingGenerations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &alternatingStore{}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		m := New(Options{Store: s, Prefixes: []string{"a", "b"}, Apply: func(View) {}, OnConnectionChange: func(bool, error) {}})
+		_ = m.Run(ctx)
+		const maxCalls = 200
+		if s.calls > maxCalls {
+			t.Errorf("%d calls in ten seconds, want %d at most", s.calls, maxCalls)
+		}
+	})
+}
