Do not lead under a lease that the store forgot during the campaign

What could have happened: a key created in the restored store under a lease whose ID is another process's. Change: leadership counts only if the key belongs to the generation in which the campaign began. Evidence: TestRestorationDuringCampaign failed and passes.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -242,6 +242,11 @@
 		e.opts.Logger.Debug("leadership not obtained", "key", e.opts.Key, "err", err)
 		return
 	}
+	if at.Generation != e.generation {
+		// The store was restored meanwhile; the lease may be that of another process.
+		e.opts.Logger.Info("leadership not used: the store was restored meanwhile", "key", e.opts.Key, "revision", at)
+		return
+	}
 	fence, err := e.fence(at)
 	if err != nil {
 		// Nobody renews the lease, so others may try when it expires.
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -22,6 +22,9 @@
 	until    map[uint64]time.Time // end of each lease
 	next     uint64               // the lease granted last
 	down     bool
+	// restoreBeforeCreate restores the store before the key is created the next time.
+	restoreBeforeCreate bool
+	generation          uint64
 }
 
 const lease = 3 * time.Second
@@ -83,9 +86,13 @@
 	if s.holder != 0 {
 		return revision.Revision{}, false, nil
 	}
+	if s.restoreBeforeCreate {
+		s.restoreBeforeCreate = false
+		s.generation++
+	}
 	s.holder = id
 	s.revision++
-	return revision.Revision{Number: s.revision}, true, nil
+	return revision.Revision{Generation: s.generation, Number: s.revision}, true, nil
 }
 
 func (s *fakeStore) Read(context.Context, string) ([]byte, revision.Revision, error) {
@@ -156,3 +163,36 @@
 		}
 	})
 }
+
+// Guards against leadership under a lease that the store forgot before the key was created,
+// and whose ID may be that of another process.
+func TestRestorationDuringCampaign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{until: make(map[uint64]time.Time), generation: 1, restoreBeforeCreate: true}
+		start := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		e := New(Options{
+			Store: store, Key: "k", Lease: lease, LikelyFree: func() bool { return true }, Logger: log.New(io.Discard),
+			Clock: func() time.Duration { return time.Since(start) },
+			Generation: func() uint64 {
+				store.mu.Lock()
+				defer store.mu.Unlock()
+				return store.generation
+			},
+		})
+		done := make(chan struct{})
+		go func() { defer close(done); _ = e.Run(ctx) }()
+		for time.Since(start) < 2*lease {
+			time.Sleep(50 * time.Millisecond)
+			if term, ok := e.Term(); ok {
+				t.Fatalf("term %+v after %v", term, time.Since(start))
+			}
+		}
+		time.Sleep(3 * lease)
+		if _, ok := e.Term(); !ok {
+			t.Error("no leader after the restoration")
+		}
+		cancel()
+		<-done
+	})
+}
