--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -376,3 +376,39 @@
 		t.Errorf("looks complete with %q", got.body)
 	}
 }
+
+// Guards against a broken stream that looks complete because something else accepts
+// connections in the place of a crashed upstream.
+func TestBrokenStreamBehindProxy(t *testing.T) {
+	u := newScriptedUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+threeEvents[:30], closedByCrash)
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	go forwardAll(proxy, u.listener.Addr().String())
+	behind := &scriptedUpstream{listener: proxy}
+	if got := request(t, serveThrough(t, behind, routing.Stream), http.MethodPost, "1.1"); got.complete {
+		t.Errorf("looks complete with %q", got.body)
+	}
+}
+
+// forwardAll accepts every connection, and closes it if the target accepts none.
+func forwardAll(l net.Listener, target string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			t, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			defer func() { _ = t.Close() }()
+			go func() { _, _ = io.Copy(t, c) }()
+			_, _ = io.Copy(c, t)
+		}()
+	}
+}
