Show that requests reach a decode server after it has left

Cause: between prefill and decode the gateway does not check whether the chosen decode server still takes work.

--- /dev/null
+++ b/review/harness/model.go
@@ -0,0 +1,287 @@
+package harness
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fescueslip/fescueslip/platform/emulator"
+)
+
+const (
+	// promptTokensPerMs is the speed of a prefill server, as in the site file.
+	promptTokensPerMs = 55.6
+	// handleTime is how long a result of a prefill is kept (kv-hold-s).
+	handleTime = 500 * time.Millisecond
+	// eventPause and events are the pace and the length of a stream.
+	eventPause = 40 * time.Millisecond
+	events     = 60
+)
+
+// Arrival is a request that reached a decode server.
+type Arrival struct {
+	Request, Server string
+	At              time.Time
+	// Leaving is when the store accepted that the server leaves; zero if it does not.
+	Leaving time.Time
+}
+
+// ModelPool is a pool of model servers.
+type ModelPool struct {
+	c        *Case
+	mu       sync.Mutex
+	next     int
+	handles  map[string]time.Time
+	arrivals []Arrival
+	Servers  []*ModelServer
+}
+
+// NewModelPool returns an empty pool.
+func NewModelPool(c *Case) *ModelPool { return &ModelPool{c: c, handles: make(map[string]time.Time)} }
+
+// Arrivals returns the requests that reached decode servers so far.
+func (p *ModelPool) Arrivals() []Arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Arrival(nil), p.arrivals...)
+}
+
+// ModelServer is a model server in one phase.
+type ModelServer struct {
+	ID, Phase, Address string
+
+	pool   *ModelPool
+	server *http.Server
+	prompt sync.Mutex
+
+	mu sync.Mutex
+	// slowdown is how many times longer a prompt takes.
+	slowdown float64
+	// holds are the reservations that no request has used, by the time of their end.
+	holds   map[string]time.Time
+	nextID  int
+	leaving time.Time
+	ended   bool
+}
+
+// Add starts a server and lists it.
+func (p *ModelPool) Add(phase string) (*ModelServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p.next++
+	m := &ModelServer{ID: fmt.Sprintf("i-m%d", p.next), Phase: phase, Address: l.Addr().String(), pool: p, slowdown: 1, holds: make(map[string]time.Time)}
+	m.server = &http.Server{Handler: m}
+	go func() { _ = m.server.Serve(l) }()
+	p.Servers = append(p.Servers, m)
+	p.c.PutServer(m.ID, emulator.ModelService, m.Address, "ready", phase, 1, 32)
+	return m, nil
+}
+
+// SetSlowdown makes prompts take that many times longer.
+func (m *ModelServer) SetSlowdown(x float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.slowdown = x
+	m.pool.c.Logf("server %s (%s) works %.1f times as long", m.ID, m.Phase, x)
+}
+
+// UnusedHolds returns the number of reservations that wait for their request.
+func (m *ModelServer) UnusedHolds() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.holds)
+}
+
+// Leave reports that the server is draining, and ends it after the given time.
+func (m *ModelServer) Leave(after time.Duration) {
+	m.pool.c.PutServer(m.ID, emulator.ModelService, m.Address, "draining", m.Phase, 2, 32)
+	m.mu.Lock()
+	m.leaving = time.Now()
+	m.mu.Unlock()
+	time.AfterFunc(after, func() {
+		m.mu.Lock()
+		m.ended = true
+		m.mu.Unlock()
+		m.pool.c.Logf("server %s ends", m.ID)
+		_ = m.server.Close()
+		m.pool.c.Store.Delete("servers/" + m.ID)
+	})
+}
+
+// Left reports whether the server leaves or has left.
+func (m *ModelServer) Left() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.leaving.IsZero()
+}
+
+// ServeHTTP implements http.Handler.
+func (m *ModelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Fescueslip-Request-Id")
+	if id != "" {
+		w.Header().Set("Fescueslip-Request-Id", id)
+	}
+	if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != m.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	switch {
+	case r.URL.Path == "/report":
+		WriteJSON(w, http.StatusOK, map[string]any{"phase": m.Phase, "busy": false, "seq": 0, "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100615, "kv-handles": 0})
+	case r.URL.Path == "/order":
+		// Every order is refused: another one is in progress.
+		w.WriteHeader(http.StatusConflict)
+	case r.URL.Path == "/hold-take":
+		m.reserve(w, body)
+	case strings.HasPrefix(r.URL.Path, "/hold-drop/"):
+		m.useHold(strings.TrimPrefix(r.URL.Path, "/hold-drop/"))
+	case strings.HasPrefix(r.URL.Path, "/kv-handle/"):
+		m.pool.takeHandle(m.Address + "/" + strings.TrimPrefix(r.URL.Path, "/kv-handle/"))
+	case r.Header.Get("Fescueslip-Stage") == "prefill":
+		m.prefill(w, r, id)
+	default:
+		m.decode(w, r, id)
+	}
+}
+
+func (m *ModelServer) reserve(w http.ResponseWriter, body []byte) {
+	var call struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	_ = json.Unmarshal(body, &call)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nextID++
+	hold := fmt.Sprintf("h%d", m.nextID)
+	m.holds[hold] = time.Now().Add(time.Duration(call.TTL) * time.Millisecond)
+	m.pool.c.Logf("server %s grants %s for %d ms", m.ID, hold, call.TTL)
+	WriteJSON(w, http.StatusOK, map[string]any{"hold": hold})
+}
+
+func (m *ModelServer) useHold(hold string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.holds, hold)
+}
+
+func (p *ModelPool) takeHandle(handle string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	end, ok := p.handles[handle]
+	delete(p.handles, handle)
+	return ok && time.Now().Before(end)
+}
+
+// refuse answers that the request was not run.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set("Fescueslip-Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+// prefill reads the prompt; one is read at a time.
+func (m *ModelServer) prefill(w http.ResponseWriter, r *http.Request, id string) {
+	if m.Phase != "prefill" {
+		refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	prompt, _, _ := strings.Cut(r.Header.Get("Fescueslip-Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	m.pool.c.Logf("server %s: prompt of %s arrives", m.ID, id)
+	m.prompt.Lock()
+	defer m.prompt.Unlock()
+	m.mu.Lock()
+	slowdown := m.slowdown
+	m.nextID++
+	handle := fmt.Sprintf("k%d", m.nextID)
+	m.mu.Unlock()
+	select {
+	case <-time.After(time.Duration(float64(tokens) / promptTokensPerMs * slowdown * float64(time.Millisecond))):
+	case <-r.Context().Done():
+		return
+	}
+	m.pool.mu.Lock()
+	m.pool.handles[m.Address+"/"+handle] = time.Now().Add(handleTime)
+	m.pool.mu.Unlock()
+	m.pool.c.Logf("server %s: prompt of %s is read", m.ID, id)
+	WriteJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": tokens, "version": 1})
+}
+
+// decode runs the request and streams its answer.
+func (m *ModelServer) decode(w http.ResponseWriter, r *http.Request, id string) {
+	m.useHold(r.Header.Get("Fescueslip-Kv-Hold"))
+	m.mu.Lock()
+	leaving := m.leaving
+	m.mu.Unlock()
+	m.pool.mu.Lock()
+	m.pool.arrivals = append(m.pool.arrivals, Arrival{Request: id, Server: m.ID, At: time.Now(), Leaving: leaving})
+	m.pool.mu.Unlock()
+	source := r.Header.Get("Fescueslip-Kv-Source")
+	if m.Phase != "decode" {
+		refuse(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if source != "" && !m.pool.takeHandle(source) {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	m.pool.c.Logf("server %s runs %s", m.ID, id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Fescueslip-Server-Signature", m.ID+"."+id)
+	controller := http.NewResponseController(w)
+	for n := range events {
+		if n > 0 {
+			select {
+			case <-time.After(eventPause):
+			case <-r.Context().Done():
+				m.pool.c.Logf("server %s: run of %s is cut off after %d of %d events", m.ID, id, n, events)
+				return
+			}
+		}
+		if _, err := io.WriteString(w, emulator.EventText(id, n+1)); err != nil {
+			return
+		}
+		if err := controller.Flush(); err != nil {
+			return
+		}
+	}
+	m.pool.c.Logf("server %s: run of %s ends", m.ID, id)
+}
+
+// Stream sends a model request and reports whether its stream was complete. It logs what
+// the client sees.
+func (c *Case) Stream(g *Gateway, id string, promptTokens int) bool {
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.Client+emulator.StreamPrefix+id, strings.NewReader("prompt"))
+	if err != nil {
+		c.Logf("client: %s not sent: %v", id, err)
+		return false
+	}
+	req.Host = emulator.Host
+	req.Header.Set("Fescueslip-Request-Id", id)
+	req.Header.Set("Fescueslip-Deadline-Ms", "14000")
+	req.Header.Set("Fescueslip-Model", "m")
+	req.Header.Set("Fescueslip-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, 59*events))
+	req.Header.Set("Fescueslip-Length-Hint", strconv.Itoa(59*events))
+	c.Logf("client: sends %s to %s", id, g.Name)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.Logf("client: %s failed: %v", id, err)
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	complete := err == nil && resp.StatusCode == http.StatusOK && string(body) == emulator.StreamBody(id, events)
+	c.Logf("client: %s gets %d, %d events, complete %t, error %v", id, resp.StatusCode, strings.Count(string(body), "\n\n"), complete, err)
+	return complete
+}
