Show that a gateway that was cut off uses servers that have left

Cause: the mirror takes the end of its own interruption for the return of the store and keeps missing entries for 2.2 s more.

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -163,6 +163,11 @@
 // StartGateway starts a gateway with the command of deploy/system.toml and waits until it
 // is ready. memoryMB is the memory of its machine.
 func (c *Case) StartGateway(memoryMB int) (*Gateway, error) {
+	return c.StartGatewayAt(c.StoreAddress, memoryMB)
+}
+
+// StartGatewayAt is StartGateway for a gateway that reaches the store at another address.
+func (c *Case) StartGatewayAt(store string, memoryMB int) (*Gateway, error) {
 	c.next++
 	g := &Gateway{Name: fmt.Sprintf("front-a-%d", c.next), ended: make(chan struct{})}
 	var addresses []string
@@ -185,7 +190,7 @@
 retries: {ratio: 0.2, window: 10s, slack: 54}
 leadership: {lease: 3000ms}
 shutdown: {grace: 8s}
-`, g.Name, c.StoreAddress, g.Client, g.Ready, addresses[2], addresses[3], addresses[4], addresses[3], memoryMB)
+`, g.Name, store, g.Client, g.Ready, addresses[2], addresses[3], addresses[4], addresses[3], memoryMB)
 	path := filepath.Join(c.dir, g.Name+".yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
