Show that a request which crashes servers silently is never refused

The gateways count a run at a silent upstream against the request only if its deadline ended the run. Clients of streams leave after a gap of 3.6 s, long before that, so the crashes are not recorded.

--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -40,6 +41,8 @@
 	handles  map[string]time.Time
 	arrivals []Arrival
 	Servers  []*ModelServer
+	// OnRun, if set, is called when a decode server is about to run a request.
+	OnRun func(m *ModelServer, id string)
 }
 
 // NewModelPool returns an empty pool.
@@ -68,6 +71,8 @@
 	nextID  int
 	leaving time.Time
 	ended   bool
+	// dark is closed when the server, which has gone dark, is back; nil before.
+	dark chan struct{}
 }
 
 // Add starts a server and lists it.
@@ -76,11 +81,13 @@
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
 	p.next++
 	m := &ModelServer{ID: fmt.Sprintf("i-m%d", p.next), Phase: phase, Address: l.Addr().String(), pool: p, slowdown: 1, holds: make(map[string]time.Time)}
 	m.server = &http.Server{Handler: m}
 	go func() { _ = m.server.Serve(l) }()
 	p.Servers = append(p.Servers, m)
+	p.mu.Unlock()
 	p.c.PutServer(m.ID, emulator.ModelService, m.Address, "ready", phase, 1, 32)
 	return m, nil
 }
@@ -116,6 +123,39 @@
 	})
 }
 
+// GoDark makes the server silent, as if its machine had lost power: its connections stay
+// open and carry nothing, and new ones get no answer. Its entry goes after listedTime; after
+// darkTime the connections are reset, and a new incarnation is listed.
+func (m *ModelServer) GoDark(listedTime, darkTime time.Duration) {
+	m.mu.Lock()
+	m.dark = make(chan struct{})
+	m.mu.Unlock()
+	m.pool.c.Logf("server %s crashes and is silent", m.ID)
+	time.AfterFunc(listedTime, func() {
+		m.pool.c.Store.Delete("servers/" + m.ID)
+		m.pool.c.Logf("store: servers/%s is removed, since its heartbeats are missing", m.ID)
+	})
+	time.AfterFunc(darkTime, func() {
+		close(m.dark)
+		_ = m.server.Close()
+		if _, err := m.pool.Add(m.Phase); err != nil {
+			m.pool.c.Logf("server %s is not back: %v", m.ID, err)
+		}
+	})
+}
+
+// waitWhileDark returns at once unless the server is dark. In that case it does not return,
+// and the connection carries nothing until it is reset.
+func (m *ModelServer) waitWhileDark() {
+	m.mu.Lock()
+	dark := m.dark
+	m.mu.Unlock()
+	if dark != nil {
+		<-dark
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // Left reports whether the server leaves or has left.
 func (m *ModelServer) Left() bool {
 	m.mu.Lock()
@@ -125,6 +165,7 @@
 
 // ServeHTTP implements http.Handler.
 func (m *ModelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.waitWhileDark()
 	id := r.Header.Get("Fescueslip-Request-Id")
 	if id != "" {
 		w.Header().Set("Fescueslip-Request-Id", id)
@@ -237,6 +278,10 @@
 		return
 	}
 	m.pool.c.Logf("server %s runs %s", m.ID, id)
+	if m.pool.OnRun != nil {
+		m.pool.OnRun(m, id)
+		m.waitWhileDark()
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Fescueslip-Server-Signature", m.ID+"."+id)
 	controller := http.NewResponseController(w)
@@ -246,8 +291,10 @@
 			case <-time.After(eventPause):
 			case <-r.Context().Done():
 				m.pool.c.Logf("server %s: run of %s is cut off after %d of %d events", m.ID, id, n, events)
+				m.waitWhileDark()
 				return
 			}
+			m.waitWhileDark()
 		}
 		if _, err := io.WriteString(w, emulator.EventText(id, n+1)); err != nil {
 			return
@@ -262,7 +309,16 @@
 // Stream sends a model request and reports whether its stream was complete. It logs what
 // the client sees.
 func (c *Case) Stream(g *Gateway, id string, promptTokens int) bool {
-	req, err := http.NewRequest(http.MethodPost, "http://"+g.Client+emulator.StreamPrefix+id, strings.NewReader("prompt"))
+	return c.StreamPath(g, id, id, promptTokens)
+}
+
+// StreamPath is Stream for a request whose path ends with name, whatever its id is.
+func (c *Case) StreamPath(g *Gateway, id, name string, promptTokens int) bool {
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	gap := time.AfterFunc(maxGap, leave)
+	defer gap.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Client+emulator.StreamPrefix+name, strings.NewReader("prompt "+name))
 	if err != nil {
 		c.Logf("client: %s not sent: %v", id, err)
 		return false
@@ -274,14 +330,37 @@
 	req.Header.Set("Fescueslip-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, 59*events))
 	req.Header.Set("Fescueslip-Length-Hint", strconv.Itoa(59*events))
 	c.Logf("client: sends %s to %s", id, g.Name)
-	resp, err := http.DefaultClient.Do(req)
+	// A new connection each: a retry uses one, too.
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
 	if err != nil {
 		c.Logf("client: %s failed: %v", id, err)
 		return false
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := readEvents(resp.Body, gap)
 	_ = resp.Body.Close()
 	complete := err == nil && resp.StatusCode == http.StatusOK && string(body) == emulator.StreamBody(id, events)
 	c.Logf("client: %s gets %d, %d events, complete %t, error %v", id, resp.StatusCode, strings.Count(string(body), "\n\n"), complete, err)
 	return complete
 }
+
+// maxGap is how long clients wait for the next event, the first one too: the longest of two
+// seconds, four times the objective (900 ms) and eight times the pause (300 ms).
+const maxGap = 3600 * time.Millisecond
+
+// readEvents reads a stream; whatever arrives restarts the timer gap.
+func readEvents(r io.Reader, gap *time.Timer) ([]byte, error) {
+	var body []byte
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := r.Read(buf)
+		body = append(body, buf[:n]...)
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+		gap.Reset(maxGap)
+	}
+}
