--- a/review/1/main.go
+++ b/review/1/main.go
@@ -40,7 +40,7 @@
 		w.Header().Set("Fescueslip-Instance-Id", s.id)
 		return
 	}
-	if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != s.id {
+	if want := r.Header.Get(harness.Names.ExpectInstance); want != "" && want != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -53,7 +53,7 @@
 		_, _ = io.WriteString(w, "{\"spoiled\":true}")
 		return
 	}
-	w.Header().Set("Fescueslip-Server-Signature", s.id+"."+id)
+	w.Header().Set(harness.Names.Signature, s.id+"."+id)
 	_, _ = fmt.Fprintf(w, "{\"booked\":%q}", id)
 }
 
@@ -104,7 +104,7 @@
 	}
 	req.Host = emulator.Host
 	req.Header.Set("Fescueslip-Request-Id", id)
-	req.Header.Set("Fescueslip-Deadline-Ms", "1000")
+	req.Header.Set(harness.Names.Deadline, "1000")
 	c.Logf("client: sends %s %s %s", id, method, path)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -113,7 +113,7 @@
 	}
 	answer, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	signature := resp.Header.Get("Fescueslip-Server-Signature")
+	signature := resp.Header.Get(harness.Names.Signature)
 	c.Logf("client: %s %s gets %d, signature %q, body %q, error %v", id, method, resp.StatusCode, signature, answer, err)
 	if resp.StatusCode/100 == 2 && signature == "" {
 		c.Logf("MIXED: %s gets a success without a signature", id)
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -60,7 +60,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Fescueslip-Request-Id")
 	w.Header().Set("Fescueslip-Request-Id", id)
-	if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != s.id {
+	if want := r.Header.Get(harness.Names.ExpectInstance); want != "" && want != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -73,7 +73,7 @@
 		s.r.c.Logf("server %s: run of %s is cut off", s.id, id)
 		return
 	}
-	w.Header().Set("Fescueslip-Server-Signature", s.id+"."+id)
+	w.Header().Set(harness.Names.Signature, s.id+"."+id)
 	_, _ = fmt.Fprintf(w, "booked %s\n", id)
 }
 
@@ -112,11 +112,11 @@
 // leave removes the entry of the server, which never reports that it is draining, and ends
 // the server later.
 func (s *server) leave() {
-	s.r.c.Store.Delete("servers/" + s.id)
+	s.r.c.Store.Delete(harness.Names.ServersPrefix + s.id)
 	s.mu.Lock()
 	s.gone = time.Now()
 	s.mu.Unlock()
-	s.r.c.Logf("store: servers/%s is removed", s.id)
+	s.r.c.Logf("store: server %s is removed", s.id)
 	time.AfterFunc(drainTime+linger, func() {
 		s.r.c.Logf("server %s ends", s.id)
 		_ = s.http.Close()
@@ -191,7 +191,7 @@
 		}
 		req.Host = emulator.Host
 		req.Header.Set("Fescueslip-Request-Id", id)
-		req.Header.Set("Fescueslip-Deadline-Ms", "1000")
+		req.Header.Set(harness.Names.Deadline, "1000")
 		r.c.Logf("client: sends %s", id)
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -85,7 +85,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request := r.Header.Get("Fescueslip-Request-Id")
 		w.Header().Set("Fescueslip-Request-Id", request)
-		if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != id {
+		if want := r.Header.Get(harness.Names.ExpectInstance); want != "" && want != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -95,7 +95,7 @@
 		}
 		c.Logf("server %s runs %s of %d bytes", id, request, n)
 		time.Sleep(workTime)
-		w.Header().Set("Fescueslip-Server-Signature", id+"."+request)
+		w.Header().Set(harness.Names.Signature, id+"."+request)
 		_, _ = fmt.Fprintf(w, "booked %s\n", request)
 	})
 }
@@ -116,8 +116,8 @@
 	if withLength {
 		framing = fmt.Sprintf("Content-Length: %d", pieces*len(piece))
 	}
-	_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nFescueslip-Request-Id: %s\r\nFescueslip-Deadline-Ms: %d\r\n%s\r\n\r\n",
-		emulator.UnsafePrefix, id, emulator.Host, id, deadline.Milliseconds(), framing)
+	_, _ = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: %s\r\nFescueslip-Request-Id: %s\r\n%s: %d\r\n%s\r\n\r\n",
+		emulator.UnsafePrefix, id, emulator.Host, id, harness.Names.Deadline, deadline.Milliseconds(), framing)
 	for n := range pieces {
 		if n == pieces-1 {
 			time.Sleep(time.Until(start.Add(sendTime)))
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fescueslip/fescueslip/platform"
 	"github.com/fescueslip/fescueslip/platform/emulator"
 )
 
@@ -125,13 +126,13 @@
 		entry["phase"] = phase
 		entry["models"] = []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
 	}
-	c.Store.Put("servers/"+id, entry)
-	c.Logf("store: servers/%s is %s %s at %s", id, state, phase, address)
+	c.Store.Put(Names.ServersPrefix+id, entry)
+	c.Logf("store: server %s is %s %s at %s", id, state, phase, address)
 }
 
 // PutConfig writes the operator's configuration.
 func (c *Case) PutConfig(config emulator.Configuration) {
-	c.Store.Put("op/config", config)
+	c.Store.Put(Names.ConfigurationKey, config)
 	c.Logf("store: configuration %d", config.Version)
 }
 
@@ -206,7 +207,7 @@
 	}
 	defer func() { _ = logs.Close() }()
 	g.cmd = exec.Command("target/fescueslip", "gateway")
-	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "FESCUESLIP_CONFIG=" + path}
+	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", platform.SettingsPathVariable + "=" + path}
 	g.cmd.Stdout, g.cmd.Stderr = logs, logs
 	// The process must not outlive the case.
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -18,7 +18,7 @@
 const (
 	// promptTokensPerMs is the speed of a prefill server, as in the site file.
 	promptTokensPerMs = 55.6
-	// handleTime is how long a result of a prefill is kept (kv-hold-s).
+	// handleTime is how long a result of a prefill is kept.
 	handleTime = 500 * time.Millisecond
 	// eventPause and events are the pace and the length of a stream.
 	eventPause = 40 * time.Millisecond
@@ -119,7 +119,7 @@
 		m.mu.Unlock()
 		m.pool.c.Logf("server %s ends", m.ID)
 		_ = m.server.Close()
-		m.pool.c.Store.Delete("servers/" + m.ID)
+		m.pool.c.Store.Delete(Names.ServersPrefix + m.ID)
 	})
 }
 
@@ -132,8 +132,8 @@
 	m.mu.Unlock()
 	m.pool.c.Logf("server %s crashes and is silent", m.ID)
 	time.AfterFunc(listedTime, func() {
-		m.pool.c.Store.Delete("servers/" + m.ID)
-		m.pool.c.Logf("store: servers/%s is removed, since its heartbeats are missing", m.ID)
+		m.pool.c.Store.Delete(Names.ServersPrefix + m.ID)
+		m.pool.c.Logf("store: server %s is removed, since its heartbeats are missing", m.ID)
 	})
 	time.AfterFunc(darkTime, func() {
 		close(m.dark)
@@ -170,7 +170,7 @@
 	if id != "" {
 		w.Header().Set("Fescueslip-Request-Id", id)
 	}
-	if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != m.ID {
+	if want := r.Header.Get(Names.ExpectInstance); want != "" && want != m.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -180,17 +180,17 @@
 	}
 	switch {
 	case r.URL.Path == "/report":
-		WriteJSON(w, http.StatusOK, map[string]any{"phase": m.Phase, "busy": false, "seq": 0, "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100615, "kv-handles": 0})
+		WriteJSON(w, http.StatusOK, map[string]any{"phase": m.Phase, "busy": false, "seq": 0, "waiting": 0, "running": 0, "kv-used": 0, "kv-total": 100615, Names.HandleCountField: 0})
 	case r.URL.Path == "/order":
 		// Every order is refused: another one is in progress.
 		w.WriteHeader(http.StatusConflict)
-	case r.URL.Path == "/hold-take":
+	case r.URL.Path == Names.ReservePath:
 		m.reserve(w, body)
-	case strings.HasPrefix(r.URL.Path, "/hold-drop/"):
-		m.useHold(strings.TrimPrefix(r.URL.Path, "/hold-drop/"))
-	case strings.HasPrefix(r.URL.Path, "/kv-handle/"):
-		m.pool.takeHandle(m.Address + "/" + strings.TrimPrefix(r.URL.Path, "/kv-handle/"))
-	case r.Header.Get("Fescueslip-Stage") == "prefill":
+	case strings.HasPrefix(r.URL.Path, Names.ReleasePath):
+		m.useHold(strings.TrimPrefix(r.URL.Path, Names.ReleasePath))
+	case strings.HasPrefix(r.URL.Path, Names.HandlePath):
+		m.pool.takeHandle(m.Address + "/" + strings.TrimPrefix(r.URL.Path, Names.HandlePath))
+	case r.Header.Get(Names.Stage) == "prefill":
 		m.prefill(w, r, id)
 	default:
 		m.decode(w, r, id)
@@ -227,7 +227,7 @@
 
 // refuse answers that the request was not run.
 func refuse(w http.ResponseWriter, status int) {
-	w.Header().Set("Fescueslip-Not-Executed", "1")
+	w.Header().Set(Names.NotExecuted, "1")
 	w.WriteHeader(status)
 }
 
@@ -237,7 +237,7 @@
 		refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
-	prompt, _, _ := strings.Cut(r.Header.Get("Fescueslip-Token-Usage"), ",")
+	prompt, _, _ := strings.Cut(r.Header.Get(Names.TokenUsage), ",")
 	tokens, _ := strconv.Atoi(prompt)
 	m.pool.c.Logf("server %s: prompt of %s arrives", m.ID, id)
 	m.prompt.Lock()
@@ -256,19 +256,19 @@
 	m.pool.handles[m.Address+"/"+handle] = time.Now().Add(handleTime)
 	m.pool.mu.Unlock()
 	m.pool.c.Logf("server %s: prompt of %s is read", m.ID, id)
-	WriteJSON(w, http.StatusOK, map[string]any{"kv-handle": handle, "tokens": tokens, "version": 1})
+	WriteJSON(w, http.StatusOK, map[string]any{Names.HandleField: handle, "tokens": tokens, "version": 1})
 }
 
 // decode runs the request and streams its answer.
 func (m *ModelServer) decode(w http.ResponseWriter, r *http.Request, id string) {
-	m.useHold(r.Header.Get("Fescueslip-Kv-Hold"))
+	m.useHold(r.Header.Get(Names.KVHold))
 	m.mu.Lock()
 	leaving := m.leaving
 	m.mu.Unlock()
 	m.pool.mu.Lock()
 	m.pool.arrivals = append(m.pool.arrivals, Arrival{Request: id, Server: m.ID, At: time.Now(), Leaving: leaving})
 	m.pool.mu.Unlock()
-	source := r.Header.Get("Fescueslip-Kv-Source")
+	source := r.Header.Get(Names.KVSource)
 	if m.Phase != "decode" {
 		refuse(w, http.StatusMisdirectedRequest)
 		return
@@ -283,7 +283,7 @@
 		m.waitWhileDark()
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Fescueslip-Server-Signature", m.ID+"."+id)
+	w.Header().Set(Names.Signature, m.ID+"."+id)
 	controller := http.NewResponseController(w)
 	for n := range events {
 		if n > 0 {
@@ -325,9 +325,9 @@
 	}
 	req.Host = emulator.Host
 	req.Header.Set("Fescueslip-Request-Id", id)
-	req.Header.Set("Fescueslip-Deadline-Ms", "14000")
+	req.Header.Set(Names.Deadline, "14000")
 	req.Header.Set("Fescueslip-Model", "m")
-	req.Header.Set("Fescueslip-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, 59*events))
+	req.Header.Set(Names.TokenUsage, fmt.Sprintf("%d,%d", promptTokens, 59*events))
 	req.Header.Set("Fescueslip-Length-Hint", strconv.Itoa(59*events))
 	c.Logf("client: sends %s to %s", id, g.Name)
 	// A new connection each: a retry uses one, too.
