--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -118,9 +118,14 @@
 
 // PutServer writes the entry of a server into the store. phase is empty for plain servers.
 func (c *Case) PutServer(id, service, address, state, phase string, seq, slots int) {
+	c.PutServerBorn(id, service, address, state, phase, seq, slots, c.start)
+}
+
+// PutServerBorn is PutServer for a server that was started at the given time.
+func (c *Case) PutServerBorn(id, service, address, state, phase string, seq, slots int, born time.Time) {
 	entry := map[string]any{
 		"service": service, "address": address, "zone": "a", "version": "v1", "slots": slots, "state": state,
-		"cold-remaining-ms": 0, "seq": seq, "born": c.start.UnixMilli(),
+		"cold-remaining-ms": 0, "seq": seq, "born": born.UnixMilli(),
 	}
 	if phase != "" {
 		entry["phase"] = phase
--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -107,6 +107,20 @@
 	return len(m.holds)
 }
 
+// LatestHold returns the end of the latest reservation that waits for its request, or the
+// zero time if there is none.
+func (m *ModelServer) LatestHold() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var latest time.Time
+	for _, end := range m.holds {
+		if end.After(latest) {
+			latest = end
+		}
+	}
+	return latest
+}
+
 // Leave reports that the server is draining, and ends it after the given time.
 func (m *ModelServer) Leave(after time.Duration) {
 	m.pool.c.PutServer(m.ID, emulator.ModelService, m.Address, "draining", m.Phase, 2, 32)
@@ -314,14 +328,28 @@
 
 // StreamPath is Stream for a request whose path ends with name, whatever its id is.
 func (c *Case) StreamPath(g *Gateway, id, name string, promptTokens int) bool {
+	return c.SendStream(g, emulator.StreamPrefix, id, name, promptTokens).Complete
+}
+
+// StreamResult is what a client sees of a stream.
+type StreamResult struct {
+	// Status is 0 if there was no answer.
+	Status, Events int
+	// Ended is set if the answer ended as a complete one does, and Complete if all its
+	// events are there, too.
+	Ended, Complete bool
+}
+
+// SendStream sends a model request to a route and logs what the client sees.
+func (c *Case) SendStream(g *Gateway, prefix, id, name string, promptTokens int) StreamResult {
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	gap := time.AfterFunc(maxGap, leave)
 	defer gap.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Client+emulator.StreamPrefix+name, strings.NewReader("prompt "+name))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Client+prefix+name, strings.NewReader("prompt "+name))
 	if err != nil {
 		c.Logf("client: %s not sent: %v", id, err)
-		return false
+		return StreamResult{}
 	}
 	req.Host = emulator.Host
 	req.Header.Set("Fescueslip-Request-Id", id)
@@ -335,13 +363,14 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		c.Logf("client: %s failed: %v", id, err)
-		return false
+		return StreamResult{}
 	}
 	body, err := readEvents(resp.Body, gap)
 	_ = resp.Body.Close()
-	complete := err == nil && resp.StatusCode == http.StatusOK && string(body) == emulator.StreamBody(id, events)
-	c.Logf("client: %s gets %d, %d events, complete %t, error %v", id, resp.StatusCode, strings.Count(string(body), "\n\n"), complete, err)
-	return complete
+	result := StreamResult{Status: resp.StatusCode, Events: strings.Count(string(body), "\n\n"), Ended: err == nil}
+	result.Complete = result.Ended && resp.StatusCode == http.StatusOK && string(body) == emulator.StreamBody(id, events)
+	c.Logf("client: %s gets %d, %d events, ended in order %t, complete %t, error %v", id, result.Status, result.Events, result.Ended, result.Complete, err)
+	return result
 }
 
 // maxGap is how long clients wait for the next event, the first one too: the longest of two
--- a/review/harness/names.go
+++ b/review/harness/names.go
@@ -18,7 +18,8 @@
 	ExpectInstance, Signature, NotExecuted, Deadline, Stage, TokenUsage, KVHold, KVSource string
 	// Paths of model servers, and fields of their answers.
 	ReservePath, ReleasePath, HandlePath, HandleField, HandleCountField string
-	// Keys of the store.
+	// Path of the store's watches, and keys of the store.
+	WatchPath                       string
 	ServersPrefix, ConfigurationKey string
 }
 
