--- a/review/n1/main.go
+++ b/review/n1/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/fescueslip/fescueslip/platform/emulator"
@@ -50,13 +52,20 @@
 		return false, err
 	}
 	time.Sleep(3500 * time.Millisecond) // the gateway is in touch
+	// FREEZE=1 stops the gateway instead of cutting the link.
+	freeze := os.Getenv("FREEZE") == "1"
 	results := make(chan harness.StreamResult, 1)
 	go func() { results <- c.SendStream(g, emulator.StreamPrefix, "a1", "a1", 5000) }()
 	if c.Trouble {
 		time.Sleep(cutAfter)
-		c.Logf("the link to server %s is cut", server.ID)
-		link.Cut()
 		began := time.Now()
+		if freeze {
+			c.Logf("the gateway is stopped")
+			g.Signal(syscall.SIGSTOP)
+		} else {
+			c.Logf("the link to server %s is cut", server.ID)
+			link.Cut()
+		}
 		time.Sleep(crashAfter)
 		server.Kill()
 		time.Sleep(time.Until(began.Add(restartAfter)))
@@ -65,8 +74,13 @@
 		}
 		list()
 		time.Sleep(time.Until(began.Add(healAfter)))
-		c.Logf("the link to server %s is back", server.ID)
-		link.Heal()
+		if freeze {
+			c.Logf("the gateway goes on")
+			g.Signal(syscall.SIGCONT)
+		} else {
+			c.Logf("the link to server %s is back", server.ID)
+			link.Heal()
+		}
 	}
 	result := <-results
 	if result.Ended && result.Status == 200 && !result.Complete {
