--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -158,6 +158,36 @@
 	})
 }
 
+// Crash ends the server's process: its connections are closed and new ones refused. The entry
+// goes after listedTime; a new incarnation is listed after downTime.
+func (m *ModelServer) Crash(listedTime, downTime time.Duration) {
+	m.mu.Lock()
+	ended := m.ended
+	m.ended = true
+	m.mu.Unlock()
+	if ended {
+		return
+	}
+	m.pool.c.Logf("server %s crashes", m.ID)
+	go func() { _ = m.server.Close() }()
+	time.AfterFunc(listedTime, func() {
+		m.pool.c.Store.Delete(Names.ServersPrefix + m.ID)
+		m.pool.c.Logf("store: server %s is removed, since its heartbeats are missing", m.ID)
+	})
+	time.AfterFunc(downTime, func() {
+		if _, err := m.pool.Add(m.Phase); err != nil {
+			m.pool.c.Logf("server %s is not back: %v", m.ID, err)
+		}
+	})
+}
+
+// Ended reports whether the server's process has ended.
+func (m *ModelServer) Ended() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ended
+}
+
 // waitWhileDark returns at once unless the server is dark. In that case it does not return,
 // and the connection carries nothing until it is reset.
 func (m *ModelServer) waitWhileDark() {
@@ -295,6 +325,9 @@
 	if m.pool.OnRun != nil {
 		m.pool.OnRun(m, id)
 		m.waitWhileDark()
+		if m.Ended() {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set(Names.Signature, m.ID+"."+id)
@@ -342,6 +375,11 @@
 
 // SendStream sends a model request to a route and logs what the client sees.
 func (c *Case) SendStream(g *Gateway, prefix, id, name string, promptTokens int) StreamResult {
+	return c.SendPrompt(g, prefix, id, name, promptTokens, "")
+}
+
+// SendPrompt is SendStream for a prompt of the given parts, as the header lists them.
+func (c *Case) SendPrompt(g *Gateway, prefix, id, name string, promptTokens int, parts string) StreamResult {
 	ctx, leave := context.WithCancel(context.Background())
 	defer leave()
 	gap := time.AfterFunc(maxGap, leave)
@@ -356,6 +394,9 @@
 	req.Header.Set(Names.Deadline, "14000")
 	req.Header.Set("Fescueslip-Model", "m")
 	req.Header.Set(Names.TokenUsage, fmt.Sprintf("%d,%d", promptTokens, 59*events))
+	if parts != "" {
+		req.Header.Set(Names.PromptParts, parts)
+	}
 	req.Header.Set("Fescueslip-Length-Hint", strconv.Itoa(59*events))
 	c.Logf("client: sends %s to %s", id, g.Name)
 	// A new connection each: a retry uses one, too.
--- a/review/harness/names.go
+++ b/review/harness/names.go
@@ -15,7 +15,7 @@
 // PlatformNames is the content of names.json.
 type PlatformNames struct {
 	// Headers.
-	ExpectInstance, Signature, NotExecuted, Deadline, Stage, TokenUsage, KVHold, KVSource string
+	ExpectInstance, Signature, NotExecuted, Deadline, Stage, PromptParts, TokenUsage, KVHold, KVSource string
 	// Paths of model servers, and fields of their answers.
 	ReservePath, ReleasePath, HandlePath, HandleField, HandleCountField string
 	// Path of the store's watches, and keys of the store.
