Prove the end of a response by its process, not by an address

Cause: after a response without a length and chunks, confirmEnd opened a connection to the address of the upstream. The new process accepts it.

Change: the process that runs after the end must be the one that got the request, by id and incarnation. It is asked itself (report or health check, on a new connection); if it does not tell its incarnation, the list is read.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -38,6 +38,7 @@
 	RoleClient   roles.EngineClient
 	Protocol     gateway.Protocol
 	EngineClient gateway.EngineClient
+	Processes    gateway.ProcessIdentifier
 	// ConfigurationKey is the key of the routing table; it starts with
 	// ConfigurationPrefix.
 	ConfigurationKey    string
@@ -193,6 +194,7 @@
 		FailureDomain:     s.FailureDomain,
 		Protocol:          p.Adapter.Protocol,
 		EngineClient:      p.Adapter.EngineClient,
+		Processes:         p.Adapter.Processes,
 		Pool:              p.Pool,
 		Tables:            t.tables,
 		Fleet:             t.fleet,
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/fescueslip/fescueslip/internal/wait"
 )
 
 const (
@@ -98,33 +96,6 @@
 	return &conn{Conn: nc, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
-// acceptedTime is how long a new connection must stay open to count as accepted. A proxy
-// in front of a process that has ended accepts connections and closes them at once.
-const acceptedTime = 20 * time.Millisecond
-
-// errClosedAtOnce reports a connection that was accepted and closed again.
-var errClosedAtOnce = errors.New("the connection was closed as soon as it was open")
-
-// CheckReachable opens a connection to the address, whatever the number of open ones, and
-// keeps it for a later request. It returns an error if nothing accepts the connection
-// before the context ends, or if the connection does not stay open for acceptedTime.
-func (p *Pool) CheckReachable(ctx context.Context, address string) error {
-	c, err := p.connect(ctx, address, 0)
-	if err != nil {
-		return err
-	}
-	if !wait.For(ctx, acceptedTime) {
-		c.discard()
-		return context.Cause(ctx)
-	}
-	if !c.usable() {
-		c.discard()
-		return errClosedAtOnce
-	}
-	p.putIdle(c, 0)
-	return nil
-}
-
 // reuseIdle returns the most recently used idle connection, because the upstream is
 // least likely to have closed it. It returns nil if there is none.
 func (p *Pool) reuseIdle(r *Request) *conn {
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
@@ -61,6 +63,32 @@
 	listener net.Listener
 	response string
 	ending   ending
+	// fleet is that of the gateway.
+	fleet *fleet.Fleet
+	// answered is called before the connection of the response ends. It may be nil.
+	answered func(u *scriptedUpstream)
+	// running is the incarnation that the process at the address tells, and listed that of
+	// the list. runningErr and listedErr replace them.
+	running, listed       int64
+	runningErr, listedErr error
+}
+
+// firstIncarnation is that of the process that answers the request.
+const firstIncarnation = 1
+
+// Running implements gateway.ProcessIdentifier.
+func (u *scriptedUpstream) Running(_ context.Context, instance *fleet.Instance, _ string) (int64, error) {
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Get("http://" + instance.Address + "/report")
+	if err != nil {
+		return 0, err
+	}
+	_ = resp.Body.Close()
+	return u.running, u.runningErr
+}
+
+// Listed implements gateway.ProcessIdentifier.
+func (u *scriptedUpstream) Listed(context.Context, string) (int64, error) {
+	return u.listed, u.listedErr
 }
 
 func newScriptedUpstream(t *testing.T, response string, e ending) *scriptedUpstream {
@@ -70,7 +98,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	u := &scriptedUpstream{listener: l, response: response, ending: e}
+	u := &scriptedUpstream{listener: l, response: response, ending: e, listed: firstIncarnation}
 	go u.serve()
 	return u
 }
@@ -98,6 +126,9 @@
 	_, _ = io.WriteString(c, u.response)
 	// The gateway gets the bytes before the end of the connection.
 	time.Sleep(20 * time.Millisecond)
+	if u.answered != nil {
+		u.answered(u)
+	}
 	if u.ending == closedByCrash || u.ending == resetByCrash {
 		_ = u.listener.Close()
 	}
@@ -115,10 +146,12 @@
 	tables, upstreams := new(routing.Holder), fleet.New()
 	route := &routing.Route{Name: "r", Host: "h.example", Prefix: "/", Kind: kind, MaxAttempts: 1, WeightedServices: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	tables.Replace(routing.New(1, []*routing.Route{route}, []*routing.Service{{Name: "s"}}, routing.DefaultLimits()))
-	upstreams.Replace([]fleet.Instance{{ID: "i-1", Incarnation: 1, Service: "s", Address: u.listener.Addr().String(), Slots: 4}}, revision.Revision{Number: 1})
+	upstreams.Replace([]fleet.Instance{{ID: "i-1", Incarnation: firstIncarnation, Service: "s", Address: u.listener.Addr().String(), Slots: 4}}, revision.Revision{Number: 1})
+	u.fleet = upstreams
 	one := func() int { return 1 }
 	g := gateway.New(gateway.Options{
 		Instance: "g", Protocol: testProtocol{}, Pool: exchange.NewPool(nil), Tables: tables, Fleet: upstreams,
+		Processes:      u,
 		Retries:        gateway.RetryLimits{Ratio: 1, Window: time.Second, FixedAllowance: 10},
 		RecentGateways: one, ListedGateways: one, ListReadableSince: time.Now, Logger: log.New(io.Discard),
 	})
@@ -377,6 +410,43 @@
 	}
 }
 
+// Guards against a stream that a crash cut short and that looks complete, because another
+// process answers at the address of the one that crashed.
+func TestStreamOfReplacedProcessNeverLooksComplete(t *testing.T) {
+	const secondIncarnation = firstIncarnation + 1
+	unreadable := errors.New("the store does not answer")
+	cases := []struct {
+		name     string
+		answered func(u *scriptedUpstream)
+		complete bool
+	}{
+		{"process tells the same incarnation", func(u *scriptedUpstream) { u.running, u.listedErr = firstIncarnation, unreadable }, true},
+		{"process tells another incarnation", func(u *scriptedUpstream) { u.running = secondIncarnation }, false},
+		{"another instance answers", func(u *scriptedUpstream) { u.runningErr = errors.New("another instance") }, false},
+		{"list shows the same incarnation", func(*scriptedUpstream) {}, true},
+		{"list shows another incarnation", func(u *scriptedUpstream) { u.listed = secondIncarnation }, false},
+		{"no entry on the list", func(u *scriptedUpstream) { u.listedErr = gateway.ErrNotListed }, false},
+		{"list cannot be read, and the copy shows the same", func(u *scriptedUpstream) { u.listedErr = unreadable }, true},
+		{"list cannot be read, and the copy shows another", func(u *scriptedUpstream) {
+			u.listedErr = unreadable
+			u.fleet.Replace([]fleet.Instance{{ID: "i-1", Incarnation: secondIncarnation, Service: "s"}}, revision.Revision{Number: 2})
+		}, false},
+	}
+	for _, c := range cases {
+		for _, kind := range []routing.Kind{routing.Stream, routing.Once} {
+			t.Run(fmt.Sprintf("%s/%v", c.name, kind), func(t *testing.T) {
+				t.Parallel()
+				u := newScriptedUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+threeEvents, closedByLivingProcess)
+				u.answered = c.answered
+				got := request(t, serveThrough(t, u, kind), http.MethodPost, "1.1")
+				if complete := got.complete && got.status == http.StatusOK; complete != c.complete {
+					t.Errorf("status %d, complete %v with %q, want %v", got.status, got.complete, got.body, c.complete)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a broken stream that looks complete because something else accepts
 // connections in the place of a crashed upstream.
 func TestBrokenStreamBehindProxy(t *testing.T) {
@@ -387,7 +457,7 @@
 	}
 	t.Cleanup(func() { _ = proxy.Close() })
 	go forwardAll(proxy, u.listener.Addr().String())
-	behind := &scriptedUpstream{listener: proxy}
+	behind := &scriptedUpstream{listener: proxy, listed: firstIncarnation}
 	if got := request(t, serveThrough(t, behind, routing.Stream), http.MethodPost, "1.1"); got.complete {
 		t.Errorf("looks complete with %q", got.body)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	FailureDomain string
 	Protocol      Protocol
 	EngineClient  EngineClient
+	Processes     ProcessIdentifier
 	Pool          *exchange.Pool
 	Tables        *routing.Holder
 	Fleet         *fleet.Fleet
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -275,7 +275,7 @@
 	}
 	m.relay.onSound = func() { m.gateway.recordSound(m.call) }
 	if err = m.relay.copy(r.resp.Body); err == nil {
-		err = m.gateway.confirmEnd(ctx, instance, r.resp.Framing)
+		err = m.gateway.confirmEnd(ctx, m.call, instance, r.resp.Framing)
 	}
 	m.gateway.recordStreamEnd(ctx, m.call, instance, m.relay, err)
 	m.outcome.firstByte, m.outcome.model.events = m.relay.firstWrite, m.relay.events
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -91,7 +91,7 @@
 		res.recordResponse(best.resp)
 		res.firstByte = time.Now()
 		g.recordCompletion(c, res.firstByte)
-		res.abortCause = g.writeResponse(ctx, w, best)
+		res.abortCause = g.writeResponse(ctx, w, c, best)
 		return res
 	}
 	res.err = run.finalError(ctx, best)
@@ -354,7 +354,7 @@
 	if r.answered() {
 		r.body, r.err = readResponse(r.resp)
 		if r.err == nil && len(r.body) < maxBufferedResponse {
-			r.err = g.confirmEnd(ctx, r.instance, r.resp.Framing)
+			r.err = g.confirmEnd(ctx, c, r.instance, r.resp.Framing)
 		}
 		if r.err != nil && ctx.Err() == nil {
 			g.Metrics.brokenAnswer(c.Service.Name, r.resp.Framing, r.err)
@@ -453,7 +453,7 @@
 
 // writeResponse forwards a response. If it returns an error, the forwarded response
 // is incomplete and the client's connection must be closed.
-func (g *Gateway) writeResponse(ctx context.Context, w http.ResponseWriter, r *attemptResult) error {
+func (g *Gateway) writeResponse(ctx context.Context, w http.ResponseWriter, c *Call, r *attemptResult) error {
 	defer func() { _ = r.resp.Body.Close() }()
 	g.writeHead(w, r.resp)
 	whole := len(r.body) < maxBufferedResponse
@@ -475,7 +475,7 @@
 	if _, err := io.Copy(w, r.resp.Body); err != nil {
 		return errors.Wrap(err, "relay response body")
 	}
-	return g.confirmEnd(ctx, r.instance, r.resp.Framing)
+	return g.confirmEnd(ctx, c, r.instance, r.resp.Framing)
 }
 
 func (g *Gateway) writeHead(w http.ResponseWriter, resp *exchange.Response) {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -69,7 +69,7 @@
 	relay.beginRun(r.resp)
 	res.recordResponse(r.resp)
 	if res.abortCause = relay.copy(r.resp.Body); res.abortCause == nil {
-		res.abortCause = g.confirmEnd(ctx, r.instance, r.resp.Framing)
+		res.abortCause = g.confirmEnd(ctx, c, r.instance, r.resp.Framing)
 	}
 	g.recordStreamEnd(ctx, c, r.instance, relay, res.abortCause)
 	res.firstByte = relay.firstWrite
