Ask every success of an execution for its server's signature

Cause: an unsigned success was let through if its media type was JSON. The exception was meant for the result of a prefill; the form of the answer decided what it was.

Change: the purpose of the attempt decides. An execution needs the signature for each 2xx; a prefill is proved by its handle.

--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -35,10 +35,12 @@
 func (testProtocol) AttemptHeader(c *gateway.Call, _ gateway.Attempt) http.Header {
 	return c.Header.Clone()
 }
-func (testProtocol) EchoHeader() string                                      { return "" }
-func (testProtocol) FormatRetryAfter(d time.Duration) string                 { return fmt.Sprint(d.Seconds()) }
-func (testProtocol) RateLimit(http.Header) (float64, bool, error)            { return 0, false, nil }
-func (testProtocol) ClassifyResponse(int, http.Header) gateway.ResponseClass { return gateway.Answered }
+func (testProtocol) EchoHeader() string                           { return "" }
+func (testProtocol) FormatRetryAfter(d time.Duration) string      { return fmt.Sprint(d.Seconds()) }
+func (testProtocol) RateLimit(http.Header) (float64, bool, error) { return 0, false, nil }
+func (testProtocol) ClassifyResponse(gateway.Purpose, int, http.Header) gateway.ResponseClass {
+	return gateway.Answered
+}
 
 // ending is how an upstream ends the connection of its response.
 type ending int
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -124,8 +124,9 @@
 	AttemptHeader(c *Call, s Attempt) http.Header
 	// EchoHeader returns the name of the header in which upstreams echo the call ID.
 	EchoHeader() string
-	// ClassifyResponse determines the class of a response.
-	ClassifyResponse(status int, h http.Header) ResponseClass
+	// ClassifyResponse determines the class of a response to an attempt with the given
+	// purpose.
+	ClassifyResponse(p Purpose, status int, h http.Header) ResponseClass
 	// RateLimit returns the limit on the requests of all gateways that an upstream
 	// names in its response, in requests a second, and whether it names one. The error
 	// describes a value that cannot be read and is ignored.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -386,7 +386,7 @@
 		r.mayHaveRun = !errors.As(r.err, &failed) || failed.Sent
 		return r
 	}
-	r.class = g.Protocol.ClassifyResponse(r.resp.Status, r.resp.Header)
+	r.class = g.Protocol.ClassifyResponse(s.Purpose, r.resp.Status, r.resp.Header)
 	r.mayHaveRun = r.class == Answered || r.class == Unverified
 	g.recordLimit(u, s.To, r.resp, r.class)
 	if r.class == NotExecuted || r.class == WrongInstance {
