Join only its continuation to a stream that broke off

Cause: the relay took any signed 200 for the continuation of a resumed stream, whatever its media type and its events were, and resumed responses that were no event streams.

Change: the answer must have the media type of events, and its first event an id that follows the last one passed on. A run without an event does not end a stream. What is kept out counts as a broken attempt.

Evidence: TestResumedStreamTakesOnlyItsContinuation failed in its subtests no event, error as events, head of an error, document and event that the client has; it passes now.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // An event of a stream ends with an empty line. Lines end with LF, CRLF or CR; a stream
 // may mix them.
@@ -61,6 +64,25 @@
 	return n
 }
 
+// followsEvent reports whether the first of the events can come after the event with the
+// given ID: it has an ID, which is higher if both are numbers.
+func followsEvent(events []byte, last string) bool {
+	first := events
+	for i := range events {
+		if endsWithEmptyLine(events[:i+1]) {
+			first = events[:i+1]
+			break
+		}
+	}
+	id, ok := lastEventID(first)
+	if !ok || id == last {
+		return false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || n > before
+}
+
 // idField begins the line of an event that holds its ID.
 var idField = []byte("id:")
 
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -77,7 +77,7 @@
 func (m *modelExchange) tryResume(ctx context.Context, err error) bool {
 	var refusal *fault.Error
 	final := ctx.Err() != nil || errors.Is(err, errClientDisconnected) || errors.As(err, &refusal)
-	if final || !m.call.Route.Resumable || m.outcome.attempts >= m.call.Route.MaxAttempts {
+	if final || !m.relay.hasEvents || !m.call.Route.Resumable || m.outcome.attempts >= m.call.Route.MaxAttempts {
 		return false
 	}
 	if !m.gateway.allowRetry(m.call, 0) {
@@ -264,8 +264,9 @@
 		m.relay = newStreamRelay(m.w)
 		m.gateway.writeHead(m.w, r.resp)
 		m.w.WriteHeader(r.resp.Status)
-	} else if r.resp.Status != http.StatusOK {
-		return false, errors.Errorf("engine %s refused to resume the stream with status %d", instance.ID, r.resp.Status)
+	} else if err := checkContinuation(r.resp); err != nil {
+		u.RecordError()
+		return false, errors.Wrapf(err, "engine %s", instance.ID)
 	}
 	m.relay.beginRun(r.resp)
 	m.outcome.recordResponse(r.resp)
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -33,6 +33,8 @@
 	onFirstEvent func()
 	// runEvents is the number of events of the current run.
 	runEvents int
+	// resumed is set if the client has events of an earlier run.
+	resumed bool
 	// onSound, if set, is called once in a run, when the run has proved the parts of its
 	// prompt sound.
 	onSound func()
@@ -62,10 +64,23 @@
 // eventStreamType is the media type of a stream of events.
 const eventStreamType = "text/event-stream"
 
+// errNoContinuation is the error of a response that was to resume a stream and cannot.
+var errNoContinuation = errors.New("the response does not continue the stream")
+
+// checkContinuation returns an error if the response cannot resume the stream that the
+// client has received a part of.
+func checkContinuation(resp *exchange.Response) error {
+	if resp.Status != http.StatusOK || !isEventStream(resp) {
+		return errors.Wrapf(errNoContinuation, "status %d, media type %q", resp.Status, resp.Header.Get("Content-Type"))
+	}
+	return nil
+}
+
 // beginRun prepares the relay for the response of another run. It drops an event of
 // which the run before sent only a part.
 func (s *streamRelay) beginRun(resp *exchange.Response) {
 	s.pending = s.pending[:0]
+	s.resumed = s.events > 0
 	s.runStart, s.runEvents = time.Time{}, 0
 	s.framing = resp.Framing
 	s.hasEvents = isEventStream(resp)
@@ -113,7 +128,11 @@
 	for {
 		n, err := body.Read(buf[:])
 		s.pending = append(s.pending, buf[:n]...)
-		if writeErr := s.writeEvents(err == io.EOF && !s.hasEvents); writeErr != nil {
+		writeErr := s.writeEvents(err == io.EOF && !s.hasEvents)
+		if errors.Is(writeErr, errNoContinuation) {
+			return writeErr
+		}
+		if writeErr != nil {
 			return errors.Wrap(errClientDisconnected, writeErr.Error())
 		}
 		if err == io.EOF {
@@ -136,7 +155,7 @@
 		return nil
 	case isPartOfEvent(s.pending):
 		return errors.Wrapf(errStreamTruncated, "after %d bytes of an event", len(s.pending))
-	case s.framing == exchange.CloseDelimited && s.runStart.IsZero():
+	case s.runStart.IsZero() && (s.resumed || s.framing == exchange.CloseDelimited):
 		return errors.Wrap(errStreamTruncated, "before the first event")
 	default:
 		return nil
@@ -153,6 +172,9 @@
 	if end == 0 {
 		return nil
 	}
+	if s.resumed && s.runEvents == 0 && !followsEvent(s.pending[:end], s.lastID) {
+		return errors.Wrapf(errNoContinuation, "after event %q", s.lastID)
+	}
 	s.lastWrite = time.Now()
 	if s.runStart.IsZero() {
 		s.runStart = s.lastWrite
