Take a removal for a lapse only after an absence of the store

Cause: each failed watch counted as an outage of the store, and for 2.2 s after it missing entries were kept, since they may have lapsed in an outage. A cut or silent connection, or a cut of this machine alone, excuses no owner.

Change: internal/contact records when the store answered on any connection. A removal may be a lapse only shortly after a pause of over 2 s, and not if another gateway, by its gossip, had contact all the while. After a failed watch the list is read at once on a new connection; renewals try a new connection after 0.35 s.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/fescueslip/fescueslip/internal/contact"
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/gateway"
@@ -128,6 +129,8 @@
 	// readableSince is when the store was first read, or read again after the
 	// connection was lost; nil while the store cannot be read.
 	readableSince atomic.Pointer[time.Time]
+	// storeContact records when the store answered.
+	storeContact *contact.Tracker
 }
 
 // registerGatewayMetrics registers the metrics of the process; gateway.NewMetrics
@@ -172,7 +175,7 @@
 }
 
 func newTopology(tables *routing.Holder, f *fleet.Fleet) *topology {
-	return &topology{tables: tables, fleet: f}
+	return &topology{tables: tables, fleet: f, storeContact: new(contact.Tracker)}
 }
 
 // listReadableSince returns the time since which the list can be read, or the zero
@@ -201,6 +204,7 @@
 		Retries:           gateway.RetryLimits{Ratio: s.Retries.Ratio, Window: s.Retries.Window, FixedAllowance: s.Retries.Slack},
 		RecentGateways:    gateways.recentCount,
 		ListedGateways:    gateways.listedCount,
+		StoreContact:      t.storeContact.Uninterrupted,
 		ListReadableSince: t.listReadableSince,
 		Logger:            p.Logger,
 		Metrics:           m,
--- a/internal/app/gateway_list.go
+++ b/internal/app/gateway_list.go
@@ -126,12 +126,12 @@
 
 // joinGateways adds this gateway to the list and exchanges load states with the
 // other gateways.
-func joinGateways(p GatewayProcess, list *gatewayList, g *gateway.Gateway, m *gossip.Metrics, b *background, lc fx.Lifecycle) error {
+func joinGateways(p GatewayProcess, t *topology, list *gatewayList, g *gateway.Gateway, m *gossip.Metrics, b *background, lc fx.Lifecycle) error {
 	value, err := json.Marshal(gatewayEntry{Peer: p.Settings.Listen.Peer})
 	if err != nil {
 		return err
 	}
-	registrar := &presence.Registrar{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Generation: p.Adapter.Generations.Current, Logger: p.Logger}
+	registrar := &presence.Registrar{Store: p.Adapter.Presence, Key: gatewaysPrefix + p.Settings.Instance, Value: value, Generation: p.Adapter.Generations.Current, Contact: t.storeContact, Logger: p.Logger}
 	node := gossip.New(gossip.Options{
 		Name:        p.Settings.Instance,
 		Incarnation: rand.Uint64(),
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -34,6 +34,8 @@
 		FetchFromPeer:      snapshotFetcher{pool: p.Pool, ownAddress: p.Settings.Listen.Control, seeds: p.Settings.Seeds, log: p.Logger}.fetchNewer,
 		MinInterval:        max(minStoreReadInterval, p.Settings.Store.ChangeDeadline/readsPerChangeDeadline),
 		MaxSilence:         p.Settings.Store.MaxSilence,
+		Contact:            t.storeContact,
+		PresentSince:       g.StorePresentSince,
 	})
 	logGenerations(p.Adapter.Generations, t, p.Logger)
 	serveHTTP(p.ControlListener, snapshotHandler(m.LastView), p.Logger, lc)
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -155,7 +155,7 @@
 		Instance: "g", Protocol: testProtocol{}, Pool: exchange.NewPool(nil), Tables: tables, Fleet: upstreams,
 		Processes:      u,
 		Retries:        gateway.RetryLimits{Ratio: 1, Window: time.Second, FixedAllowance: 10},
-		RecentGateways: one, ListedGateways: one, ListReadableSince: time.Now, Logger: log.New(io.Discard),
+		RecentGateways: one, ListedGateways: one, ListReadableSince: time.Now, StoreContact: func(time.Time) time.Duration { return 0 }, Logger: log.New(io.Discard),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,9 @@
 	// ListedGateways returns the number of gateways, including this one, that are in
 	// the gateway list now.
 	ListedGateways func() int
+	// StoreContact returns for how long this gateway has been in contact with the store
+	// without a gap; 0 if it is not in contact now.
+	StoreContact func(now time.Time) time.Duration
 	// ListReadableSince returns the time since which the instance list has been
 	// readable without interruption. It returns the zero time while the list is
 	// unreadable.
@@ -55,6 +58,7 @@
 	retryAges       *retryAges
 	demandEstimator *demandEstimator
 	crashDetector   *crashDetector
+	storeContacts   peerStoreContacts
 	// onLoadChange notifies the other gateways of a load change. It may be nil.
 	onLoadChange func()
 }
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -59,6 +59,9 @@
 	Services []ServiceReport
 	// Limits lists the limits that upstreams named.
 	Limits []LimitReport
+	// StoreContact is for how long the sender has been in contact with the store without
+	// a gap; 0 if it is not in contact.
+	StoreContact time.Duration
 }
 
 // LimitReport is a limit that an upstream named on the requests of all gateways.
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -74,7 +74,8 @@
 	b = appendQueueHead(b, m.state.QueueHead, now)
 	b = appendServices(b, m.state.Services)
 	b = appendPrefillCounts(b, m.state.Engines)
-	return appendLimits(b, m.state.Limits, now)
+	b = appendLimits(b, m.state.Limits, now)
+	return binary.AppendUvarint(b, uint64(min(max(0, m.state.StoreContact/timeUnit), time.Duration(maxTimeOffset))))
 }
 
 func appendString(b []byte, s string) []byte {
@@ -177,6 +178,13 @@
 // field.
 const maxTimeOffset = int64(time.Hour / timeUnit)
 
+func (r *reader) storeContact() time.Duration {
+	if r.err != nil || len(r.rest) == 0 {
+		return 0
+	}
+	return time.Duration(r.uvarint(uint64(maxTimeOffset))) * timeUnit
+}
+
 // decode parses a message.
 func decode(b []byte, now time.Time) (message, error) {
 	if len(b) == 0 || (b[0] != formatFull && b[0] != formatPartial) {
@@ -212,6 +220,7 @@
 	m.state.Services = r.services()
 	r.prefillCounts(m.state.Engines)
 	m.state.Limits = r.limits(now)
+	m.state.StoreContact = r.storeContact()
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,6 +18,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/contact"
 	"github.com/fescueslip/fescueslip/internal/revision"
 	"github.com/fescueslip/fescueslip/internal/wait"
 )
@@ -96,9 +97,9 @@
 	// immediateRelists is how often in a row all entries are listed again without a delay.
 	immediateRelists = 2
 	// unconfirmedGrace is how long an item that vanished during an outage is kept
-	// after the reconnect. Live owners write it again within that time.
+	// after its end. Live owners write it again within that time.
 	unconfirmedGrace = 2200 * time.Millisecond
-	// reconnectWindow is how long after a reconnect the outage counts as the reason
+	// reconnectWindow is how long after the end of an outage it counts as the reason
 	// why an item vanished.
 	reconnectWindow = 1500 * time.Millisecond
 )
@@ -131,6 +132,12 @@
 	// read the store. The view must be newer than the given revision; the zero
 	// revision accepts any view. FetchFromPeer may be nil.
 	FetchFromPeer func(ctx context.Context, after revision.Revision) (View, error)
+	// Contact records when the store answered. Other users of the store may report their
+	// answers to it, too. Nil means a tracker of the mirror's own.
+	Contact *contact.Tracker
+	// PresentSince reports whether another process has read the store without a gap since
+	// the given time. PresentSince may be nil.
+	PresentSince func(t time.Time) bool
 	// MinInterval is the minimum time between two watches. Changes within that time
 	// are read together.
 	MinInterval time.Duration
@@ -160,9 +167,11 @@
 	// relists is the number of times in a row that all entries had to be listed again
 	// because the store had compacted its history or was restored.
 	relists int
-	// reconnectedAt is the time at which the last outage of the store ended, or at which
-	// it was restored. restoredAt is the time of the last restoration.
-	reconnectedAt, restoredAt time.Time
+	// restoredAt is the time of the last restoration of the store.
+	restoredAt time.Time
+	// listAgain is set after a call failed on a store that was in contact before, until the
+	// list has been read once more.
+	listAgain bool
 	// initialViews receives the view of another process at the start.
 	initialViews <-chan View
 	// gone holds the entries that were removed lately.
@@ -184,6 +193,9 @@
 
 // New returns an empty mirror. Run fills it.
 func New(o Options) *Mirror {
+	if o.Contact == nil {
+		o.Contact = new(contact.Tracker)
+	}
 	return &Mirror{
 		options:          o,
 		entries:          make(map[string]Entry),
@@ -235,17 +247,19 @@
 
 // markConnected records that the store answered.
 func (m *Mirror) markConnected(now time.Time) {
-	m.backoff, m.slow = 0, false
+	m.backoff, m.slow, m.listAgain = 0, false, false
+	m.options.Contact.Observe(now)
 	if m.disconnected {
 		m.disconnected = false
-		m.reconnectedAt = now
 		m.options.OnConnectionChange(false, nil)
 	}
 }
 
 // handleFailure makes the next step list all entries if the store has compacted the
-// changes or was restored, and waits only if that goes on. After any other error it marks
-// the store as disconnected, updates the copy from another process if possible, and waits.
+// changes or was restored, and waits only if that goes on. The first other error may be
+// that of one connection, so all entries are listed again at once. If that fails, too, it
+// marks the store as disconnected, updates the copy from another process if possible, and
+// waits.
 func (m *Mirror) handleFailure(ctx context.Context, err error) {
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
 		m.synced = false
@@ -254,6 +268,10 @@
 		}
 		return
 	}
+	if !m.disconnected && !m.listAgain && !m.revision.IsZero() {
+		m.listAgain, m.synced = true, false
+		return
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		m.slow = true
 	}
@@ -431,13 +449,29 @@
 // for its removal.
 func (m *Mirror) remove(k string, now time.Time) {
 	e := m.entries[k]
-	if m.options.Ephemeral != nil && m.options.Ephemeral(k) && !m.reconnectedAt.IsZero() && now.Sub(m.reconnectedAt) < reconnectWindow {
-		e.Unconfirmed = true
-		m.entries[k] = e
-		m.unconfirmedUntil[k] = m.reconnectedAt.Add(unconfirmedGrace)
+	since := m.outageEnd()
+	if m.options.Ephemeral == nil || !m.options.Ephemeral(k) || now.Sub(since) >= reconnectWindow {
+		m.drop(k)
 		return
 	}
-	m.drop(k)
+	e.Unconfirmed = true
+	m.entries[k] = e
+	m.unconfirmedUntil[k] = since.Add(unconfirmedGrace)
+}
+
+// outageEnd returns when the last outage of the store ended, or when the store was
+// restored; zero if there was neither. A time in which only this process was without the
+// store is no outage: the owners of the entries could write them.
+func (m *Mirror) outageEnd() time.Time {
+	gap := m.options.Contact.LastGap()
+	if !gap.End.After(m.restoredAt) || m.storePresentSince(gap.Start) {
+		return m.restoredAt
+	}
+	return gap.End
+}
+
+func (m *Mirror) storePresentSince(t time.Time) bool {
+	return m.options.PresentSince != nil && m.options.PresentSince(t)
 }
 
 func (m *Mirror) drop(k string) {
@@ -454,8 +488,9 @@
 		return
 	}
 	changed := false
+	outageEnd := m.outageEnd()
 	for k, end := range m.unconfirmedUntil {
-		if now.After(end) {
+		if now.After(end) || end.After(outageEnd.Add(unconfirmedGrace)) {
 			m.drop(k)
 			changed = true
 		}
--- a/internal/mirror/restoration.go
+++ b/internal/mirror/restoration.go
@@ -35,7 +35,7 @@
 // time to write again what was lost.
 func (m *Mirror) noteGeneration(listed revision.Revision, now time.Time) {
 	if !m.revision.IsZero() && !listed.SameGeneration(m.revision) {
-		m.reconnectedAt, m.restoredAt = now, now
+		m.restoredAt = now
 	}
 }
 
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 
+	"github.com/fescueslip/fescueslip/internal/contact"
 	"github.com/fescueslip/fescueslip/internal/leadership"
 )
 
@@ -37,6 +38,9 @@
 	retryInterval = 300 * time.Millisecond
 	// callTimeout limits the calls of one renewal or registration.
 	callTimeout = time.Second
+	// firstTryTimeout limits the first try of a renewal. Its connection may have become
+	// silent; the second try uses a new one.
+	firstTryTimeout = 350 * time.Millisecond
 )
 
 // errRestoredMeanwhile reports that the store was restored between the grant of a lease and
@@ -51,7 +55,9 @@
 	Value []byte
 	// Generation returns the generation of the store, as far as this process knows it.
 	Generation func() uint64
-	Logger     *log.Logger
+	// Contact records when the store answered.
+	Contact *contact.Tracker
+	Logger  *log.Logger
 
 	lease uint64 // 0 while not registered
 	// generation is that of the store in which the lease was last known to be this
@@ -67,6 +73,8 @@
 		err := r.renewOrRegister(ctx)
 		if err != nil {
 			pause = retryInterval
+		} else {
+			r.Contact.Observe(time.Now())
 		}
 		r.logChange(ctx, err)
 		select {
@@ -125,6 +133,17 @@
 	r.failing = err != nil
 }
 
+// renew renews the lease, and tries once more if the first try takes long.
+func (r *Registrar) renew(ctx context.Context) error {
+	tryCtx, cancel := context.WithTimeout(ctx, firstTryTimeout)
+	defer cancel()
+	err := r.Store.Renew(tryCtx, r.lease)
+	if err == nil || ctx.Err() != nil || tryCtx.Err() == nil {
+		return err
+	}
+	return r.Store.Renew(ctx, r.lease)
+}
+
 // renewOrRegister renews the lease, or registers under a new lease if there is
 // none.
 func (r *Registrar) renewOrRegister(ctx context.Context) error {
@@ -134,7 +153,7 @@
 		return err
 	}
 	if r.lease != 0 {
-		err := r.Store.Renew(ctx, r.lease)
+		err := r.renew(ctx)
 		if !errors.Is(err, leadership.ErrLeaseEnded) {
 			return err
 		}
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/fescueslip/fescueslip/internal/contact"
 	"github.com/fescueslip/fescueslip/internal/leadership"
 )
 
@@ -59,7 +60,7 @@
 // register returns a registrar that has registered its process.
 func register(t *testing.T, s *fakeStore) *Registrar {
 	t.Helper()
-	r := &Registrar{Store: s, Key: "k", Generation: func() uint64 { return s.generation }, Logger: log.New(io.Discard)}
+	r := &Registrar{Store: s, Key: "k", Generation: func() uint64 { return s.generation }, Contact: new(contact.Tracker), Logger: log.New(io.Discard)}
 	if err := r.renewOrRegister(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +106,7 @@
 func TestRestorationDuringRegistration(t *testing.T) {
 	s := newStore()
 	s.restoreBeforePut = true
-	r := &Registrar{Store: s, Key: "k", Generation: func() uint64 { return s.generation }, Logger: log.New(io.Discard)}
+	r := &Registrar{Store: s, Key: "k", Generation: func() uint64 { return s.generation }, Contact: new(contact.Tracker), Logger: log.New(io.Discard)}
 	if err := r.renewOrRegister(t.Context()); err == nil || r.lease != 0 {
 		t.Errorf("error %v, lease %d; want an error and none", err, r.lease)
 	}
