Ask right before each send whether an upstream may get requests

Cause: the check was made when a place was chosen. The prompt was then read for seconds, and the request was sent without another look.

Change: checkUsable is asked for each request when its connection is ready. A request whose decode engine left is placed anew and takes the result of its prefill along; a second prefill is charged to the retry budget.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,9 @@
 	MaxIdle time.Duration
 	// MaxConns limits the open connections to the address. 0 means no limit.
 	MaxConns int
+	// Admit, if set, is called when a connection is ready, right before the request is
+	// sent. If it returns an error, nothing is sent.
+	Admit func() error
 }
 
 // Response is the head of a response. Its body must be closed.
@@ -100,6 +103,10 @@
 		return nil, &Error{Cause: err}
 	}
 	c.bindContext(ctx)
+	if err := r.admit(); err != nil {
+		c.release(true, 0)
+		return nil, &Error{Cause: err}
+	}
 	resp, err := c.roundTrip(r)
 	if err != nil {
 		sent := c.bytesSent.Load()
@@ -112,6 +119,13 @@
 	return resp, nil
 }
 
+func (r *Request) admit() error {
+	if r.Admit == nil {
+		return nil
+	}
+	return r.Admit()
+}
+
 // roundTrip sends the request and reads the head of the response.
 func (c *conn) roundTrip(r *Request) (*Response, error) {
 	written := make(chan error, 1)
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -41,16 +41,29 @@
 	outcome outcome
 	// relay is set once the response of an engine has begun.
 	relay *streamRelay
+	// unused is the result of a prefill that no decode engine has imported yet, because
+	// the one that was to do so left. It may be nil.
+	unused *prefillResult
+	// prefills is the number of prefill requests, and charged that of attempts which the
+	// retry budget has paid for.
+	prefills, charged int
 }
 
 // serve repeats attempts until a response is complete or no further attempt is
 // allowed. After a response has begun, another attempt only resumes it.
 func (m *modelExchange) serve(ctx context.Context) {
+	defer func() { m.releasePrefill(m.unused) }()
+	replacements := 0
 	for {
 		retry, err := m.attempt(ctx)
 		if err == nil {
 			return
 		}
+		if errors.Is(err, errUpstreamLeaving) && ctx.Err() == nil && replacements < maxReplacements {
+			replacements++
+			m.gateway.Logger.Info("request placed anew", "request", m.call.ID, "prompt_kept", m.unused != nil, "cause", err.Error())
+			continue
+		}
 		if m.relay != nil {
 			if m.tryResume(ctx, err) {
 				continue
@@ -69,6 +82,7 @@
 			m.outcome.err = m.finalError(ctx, err, !retry)
 			return
 		}
+		m.charged++
 	}
 }
 
@@ -86,6 +100,7 @@
 	if id := m.relay.lastID; id != "" {
 		m.call.ResumeAfter = id
 	}
+	m.charged++
 	m.outcome.model.resumes++
 	m.gateway.Logger.Info("stream resumed at another engine", "request", m.call.ID, "broken_at", m.outcome.upstream,
 		"after_event", m.call.ResumeAfter, "cause", err.Error())
@@ -110,6 +125,10 @@
 	return time.Duration(minMillis+rand.IntN(spreadMillis)) * time.Millisecond
 }
 
+// maxReplacements limits how often a request is placed anew because an engine left before
+// the request was sent to it.
+const maxReplacements = 3
+
 // attempt performs all steps once. retry is true if the request has certainly not
 // run.
 func (m *modelExchange) attempt(ctx context.Context) (retry bool, err error) {
@@ -161,17 +180,46 @@
 type prefillResult struct {
 	engine *fleet.Upstream
 	handle string
+	// expires is the time until which the prefill engine surely keeps the result.
+	expires time.Time
+}
+
+// handleMargin is the part of the lifetime of a prefill result that is left for the decode
+// engine to import it.
+const handleMargin = 100 * time.Millisecond
+
+// hasUnused reports whether the result of an earlier prefill can still be imported.
+func (m *modelExchange) hasUnused(now time.Time) bool {
+	return m.unused != nil && now.Before(m.unused.expires)
+}
+
+// takeUnused returns the result of an earlier prefill that can still be imported, or nil.
+func (m *modelExchange) takeUnused(now time.Time) *prefillResult {
+	p, usable := m.unused, m.hasUnused(now)
+	m.unused = nil
+	if !usable {
+		m.releasePrefill(p)
+		return nil
+	}
+	return p
 }
 
 // prefill sends the prompt to the prefill engine. It returns a nil result and no
 // error if the decode engine processes the prompt itself.
 func (m *modelExchange) prefill(ctx context.Context, placed *placement) (*prefillResult, error) {
+	began := time.Now()
+	if p := m.takeUnused(began); p != nil {
+		placed.finishPrefill()
+		return p, nil
+	}
 	u := placed.prefillEngine
 	if u == placed.reservation.Engine {
 		return nil, nil
 	}
 	defer placed.finishPrefill()
-	began := time.Now()
+	if err := m.chargePrefill(began); err != nil {
+		return nil, err
+	}
 	defer func() { m.outcome.model.prefillTime += time.Since(began) }()
 	instance := u.Instance()
 	m.outcome.model.prefillUpstream = instance.ID
@@ -179,6 +227,9 @@
 	idle := u.PrefillTokens.Load()+backlog.peerTokens == placed.promptTokens
 	r := m.gateway.send(ctx, m.call, u, Attempt{Purpose: Prefill, To: instance, Timeout: m.call.Remaining(began)}, engineMaxIdle)
 	r.duration = time.Since(began)
+	if errors.Is(r.err, errUpstreamLeaving) {
+		m.prefills--
+	}
 	if r.err != nil {
 		m.gateway.recordHealth(ctx, m.call, u, r)
 		return nil, errors.Wrapf(r.err, "prefill request to engine %s", instance.ID)
@@ -201,7 +252,17 @@
 	if idle {
 		m.gateway.scheduler.load.recordPrefill(u, placed.promptTokens, time.Since(began))
 	}
-	return &prefillResult{engine: u, handle: handle}, nil
+	return &prefillResult{engine: u, handle: handle, expires: time.Now().Add(m.call.Service.Engine.HandleLifetime - handleMargin)}, nil
+}
+
+// chargePrefill counts a prefill of the request. Only the first one is free; an attempt
+// after a failed one has been charged as a whole.
+func (m *modelExchange) chargePrefill(now time.Time) error {
+	m.prefills++
+	if m.prefills <= 1+m.charged || m.gateway.retryBudget.TrySpend(m.call.Service.Name, now, retryReserve) {
+		return nil
+	}
+	return errors.New("the retry budget allows no second prefill")
 }
 
 // releasePrefill frees the result of a prefill at its engine in the background. p
@@ -241,7 +302,12 @@
 	r.duration = time.Since(began)
 	if r.err != nil {
 		m.gateway.recordHealth(ctx, m.call, u, r)
-		m.releasePrefill(p)
+		if errors.Is(r.err, errUpstreamLeaving) {
+			m.outcome.attempts--
+			m.unused = p
+		} else {
+			m.releasePrefill(p)
+		}
 		if !r.mayHaveRun {
 			m.gateway.releaseReservation(reservation, m.call.ID)
 		}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -127,7 +127,10 @@
 // tryPlace places the request if an engine has capacity for it. The caller holds
 // s.mu.
 func (s *scheduler) tryPlace(ctx context.Context, w *waitingRequest, contended bool, turn *turnDelay, now time.Time) bool {
-	choice := s.selectPrefillEngine(w.call.Service.Name, w.call.Model.PromptTokens, now)
+	var choice prefillChoice
+	if !w.promptReady {
+		choice = s.selectPrefillEngine(w.call.Service.Name, w.call.Model.PromptTokens, now)
+	}
 	if choice.wait > maxPrefillWait(w.call.Route) {
 		return false
 	}
@@ -135,7 +138,9 @@
 	if u == nil {
 		return false
 	}
-	if choice.engine == nil {
+	if w.promptReady {
+		choice.engine = u
+	} else if choice.engine == nil {
 		prompt := s.load.prefillState(u, now).speed.PrefillTime(float64(w.call.Model.PromptTokens))
 		choice = prefillChoice{engine: u, prompt: time.Duration(float64(prompt) / decodeEnginePrefillShare)}
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -380,6 +380,7 @@
 		EchoID:     c.ID,
 		MaxIdle:    maxIdle,
 		MaxConns:   g.connLimit(c),
+		Admit:      func() error { return checkUsable(u) },
 	})
 	if r.err != nil {
 		var failed *exchange.Error
@@ -403,6 +404,19 @@
 	return r
 }
 
+// errUpstreamLeaving is the cause of an attempt that was not sent, because its upstream
+// left after it had been selected.
+var errUpstreamLeaving = errors.New("the upstream is leaving")
+
+// checkUsable returns an error if the upstream must get no more requests. It is called
+// right before a request is sent, since the upstream may have been selected long before.
+func checkUsable(u *fleet.Upstream) error {
+	if u.Usable() {
+		return nil
+	}
+	return errors.Wrap(errUpstreamLeaving, u.Instance().ID)
+}
+
 // connLimit returns how many connections this gateway may open to one upstream of
 // the call's service, or 0 if there is no limit.
 func (g *Gateway) connLimit(c *Call) int {
@@ -417,6 +431,8 @@
 	now := time.Now()
 	g.recordFailedAttempt(ctx, c, r)
 	switch {
+	case errors.Is(r.err, errUpstreamLeaving):
+		// Nothing was sent, which says nothing about the upstream's health.
 	case r.err != nil && ctx.Err() != nil:
 		// The gateway or the client ended the attempt. If the time of the request
 		// ran out while the upstream was silent, the upstream may still be
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -43,6 +43,8 @@
 	firstEventDeadline time.Time
 	// refuseAt is the time at which the request is refused.
 	refuseAt time.Time
+	// promptReady means that the prompt has been processed already.
+	promptReady bool
 	// isRetry means that the client presumably sent the request before; see
 	// Call.RetryAge.
 	isRetry bool
@@ -197,7 +199,7 @@
 // engine.
 func (s *scheduler) reserve(ctx context.Context, m *modelExchange) (placement, error) {
 	now := time.Now()
-	w := s.newWaitingRequest(m.call)
+	w := s.newWaitingRequest(m.call, m.hasUnused(now))
 	if !now.Before(w.refuseAt) {
 		return placement{}, s.noCapacityError(w.call)
 	}
@@ -309,15 +311,19 @@
 
 // newWaitingRequest returns the call as a waiting request, with the times by which
 // it must be placed or refused.
-func (s *scheduler) newWaitingRequest(c *Call) *waitingRequest {
+func (s *scheduler) newWaitingRequest(c *Call, promptReady bool) *waitingRequest {
 	w := &waitingRequest{
 		call:         c,
 		medianOutput: s.load.medianOutput(c.Route.Name, c.Model),
 		placed:       make(chan placement, 1),
 		isRetry:      c.RetryAge > 0,
+		promptReady:  promptReady,
 	}
 	speed := s.load.speedOf(c.Service.Name)
 	w.minDelay = minFirstEventTime(c, speed)
+	if promptReady {
+		w.minDelay = speed.FirstEventDelay + clientLatency
+	}
 	w.firstEventDeadline = c.Received.Add(c.Route.LatencyTarget - c.RetryAge)
 	// Output that the deadline cuts off has no value, so the request must be placed
 	// early enough to finish.
