Send nothing to a server that says in its answers that it leaves

Cause: the gateways knew a leaving server only by its entry in the store.

Change: any answer of the server, of whatever kind and status, records the news for that incarnation; gateways share it by gossip, and the check before each send applies it.

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -29,6 +29,8 @@
 	PrefillTokensSent atomic.Int64
 	// removed is set when the instance is no longer on the list.
 	removed atomic.Bool
+	// saidLeaving is set when the instance has said in an answer that it is leaving.
+	saidLeaving atomic.Bool
 
 	mu               sync.Mutex
 	failureShare     float64 // moving share of failed requests, from 0 to 1
@@ -51,7 +53,17 @@
 func (u *Upstream) Instance() *Instance { return u.instance.Load() }
 
 // Usable reports whether the upstream may get new work.
-func (u *Upstream) Usable() bool { return !u.removed.Load() && !u.instance.Load().Leaving }
+func (u *Upstream) Usable() bool {
+	return !u.removed.Load() && !u.saidLeaving.Load() && !u.instance.Load().Leaving
+}
+
+// RecordLeaving records that the instance has said in an answer that it is leaving. That
+// holds for the rest of this incarnation, whatever the list says. It reports whether it
+// was not known.
+func (u *Upstream) RecordLeaving() (first bool) { return u.saidLeaving.CompareAndSwap(false, true) }
+
+// SaidLeaving reports whether the instance has said in an answer that it is leaving.
+func (u *Upstream) SaidLeaving() bool { return u.saidLeaving.Load() }
 
 // Removed reports whether the instance is no longer on the list.
 func (u *Upstream) Removed() bool { return u.removed.Load() }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,6 +131,8 @@
 	// names in its response, in requests a second, and whether it names one. The error
 	// describes a value that cannot be read and is ignored.
 	RateLimit(h http.Header) (perSecond float64, named bool, err error)
+	// SaysLeaving reports whether an upstream says in its response that it is leaving.
+	SaysLeaving(h http.Header) bool
 	// FormatRetryAfter returns the value of the Retry-After header.
 	FormatRetryAfter(d time.Duration) string
 }
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -59,6 +59,8 @@
 	Services []ServiceReport
 	// Limits lists the limits that upstreams named.
 	Limits []LimitReport
+	// Leaving lists the upstreams that have said in an answer that they leave.
+	Leaving []UpstreamRef
 	// StoreContact is for how long the sender has been in contact with the store without
 	// a gap; 0 if it is not in contact.
 	StoreContact time.Duration
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -31,6 +31,7 @@
 		Engines:       g.scheduler.load.localState(g.Fleet.Snapshot(), onlyChanged, now),
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
 		Limits:        g.limitReports(),
+		Leaving:       g.leavingReports(),
 		StoreContact:  g.StoreContact(now),
 	}
 	if !onlyChanged {
@@ -58,6 +59,7 @@
 	g.demandEstimator.applyReports(peer, s.Services)
 	g.crashDetector.watchlist.AddNotices(s.CrashNotices, now)
 	g.applyLimitReports(s.Limits)
+	g.applyLeavingReports(s.Leaving)
 	g.storeContacts.record(peer, s.StoreContact, now)
 	for _, e := range s.Engines {
 		if e.RoleChangeRemaining > 0 {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -390,6 +390,7 @@
 	r.class = g.Protocol.ClassifyResponse(s.Purpose, r.resp.Status, r.resp.Header)
 	r.mayHaveRun = r.class == Answered || r.class == Unverified
 	g.recordLimit(u, s.To, r.resp, r.class)
+	g.recordLeaving(u, s.To, r.resp, r.class)
 	if r.class == NotExecuted || r.class == WrongInstance {
 		// An error here only means that the connection is not reused.
 		if _, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, maxBufferedResponse)); err != nil {
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -75,7 +75,8 @@
 	b = appendServices(b, m.state.Services)
 	b = appendPrefillCounts(b, m.state.Engines)
 	b = appendLimits(b, m.state.Limits, now)
-	return binary.AppendUvarint(b, uint64(min(max(0, m.state.StoreContact/timeUnit), time.Duration(maxTimeOffset))))
+	b = binary.AppendUvarint(b, uint64(min(max(0, m.state.StoreContact/timeUnit), time.Duration(maxTimeOffset))))
+	return appendLeaving(b, m.state.Leaving)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -221,6 +222,7 @@
 	r.prefillCounts(m.state.Engines)
 	m.state.Limits = r.limits(now)
 	m.state.StoreContact = r.storeContact()
+	m.state.Leaving = r.leaving()
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -53,6 +53,8 @@
 	Busy bool
 	// AcceptedOrders is the number of orders accepted since the engine started.
 	AcceptedOrders uint64
+	// Leaving reports that the engine says that it is leaving.
+	Leaving bool
 }
 
 // EngineClient calls engines.
@@ -321,6 +323,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "read the status of engine %s", target.ID)
 	}
+	if status.Leaving {
+		u.RecordLeaving()
+		return errors.Errorf("engine %s is leaving", target.ID)
+	}
 	if status.Busy || status.Role == role {
 		return errors.Errorf("engine %s is busy or already has role %s", target.ID, role)
 	}
