--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -57,6 +57,8 @@
 	Bodiless bool
 	// Reused reports whether the connection had carried earlier requests.
 	Reused bool
+	// Echoed reports whether the response names the request.
+	Echoed bool
 }
 
 // Error is the error of a failed exchange.
@@ -156,6 +158,7 @@
 		Framing:       framing,
 		Bodiless:      isBodiless(resp.StatusCode, r.Method),
 		Reused:        c.requestCount > 1,
+		Echoed:        r.EchoHeader != "" && resp.Header.Get(r.EchoHeader) == r.EchoID,
 	}
 	return out, nil
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -115,6 +115,20 @@
 	Unverified
 )
 
+// String returns the name of the class in logs.
+func (c ResponseClass) String() string {
+	switch c {
+	case Answered:
+		return "answered"
+	case NotExecuted:
+		return "not_executed"
+	case WrongInstance:
+		return "wrong_instance"
+	default:
+		return "unverified"
+	}
+}
+
 // Protocol converts between HTTP messages and the gateway's types.
 type Protocol interface {
 	// ParseCall reads the parameters of a client request from its headers. The error
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -322,6 +322,7 @@
 		if p != nil {
 			p.engine.RecordRefusal(time.Now(), false)
 		}
+		m.gateway.Logger.Info("decode refused", append([]any{"request", m.call.ID}, r.logFields()...)...)
 		return true, errors.Errorf("engine %s refused to decode with status %d", instance.ID, r.resp.Status)
 	}
 	defer func() { _ = r.resp.Body.Close() }()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -193,15 +193,21 @@
 
 // logFailedAttempt logs the reason why an attempt gave no usable response.
 func (g *Gateway) logFailedAttempt(c *Call, r *attemptResult) {
-	status, cause := 0, ""
-	if r.resp != nil {
-		status = r.resp.Status
-	}
+	cause := ""
 	if r.err != nil {
 		cause = r.err.Error()
 	}
-	g.Logger.Info("attempt failed", "request", c.ID, "upstream", r.upstream.Instance().ID, "status", status,
-		"may_have_run", r.mayHaveRun, "ms", r.duration.Milliseconds(), "cause", cause)
+	fields := append(r.logFields(), "ms", r.duration.Milliseconds(), "cause", cause)
+	g.Logger.Info("attempt failed", append([]any{"request", c.ID}, fields...)...)
+}
+
+// logFields returns what tells why an attempt counts as executed or not.
+func (r *attemptResult) logFields() []any {
+	fields := []any{"upstream", r.instance.ID, "may_have_run", r.mayHaveRun}
+	if r.resp == nil {
+		return append(fields, "status", 0)
+	}
+	return append(fields, "status", r.resp.Status, "class", r.class.String(), "conn_reused", r.resp.Reused, "echoed", r.resp.Echoed)
 }
 
 // startFirst starts the first attempt. If the limits of the upstreams forbid it now, it
