Let a connection carry one attempt of a call at most

Cause: exchange tells answers apart by the id of the call, which all attempts of a call bear. An engine that refused a call and got it again on the same kept connection could write the refusal once more; the copy passed for the new answer.

Change: each call keeps the set of connections that have carried it, and a further attempt takes another one. An answer that names the call can then only be for this attempt. Other calls reuse the connections as before.

TestConnectionCarriesCallOnce checks the pool.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,6 +39,9 @@
 	MaxIdle time.Duration
 	// MaxConns limits the open connections to the address. 0 means no limit.
 	MaxConns int
+	// Carried, if set, holds the connections that must not carry the request. The one that
+	// carries it is added.
+	Carried *Carried
 	// Admit, if set, is called when a connection is ready, right before the request is
 	// sent. If it returns an error, nothing is sent.
 	Admit func() error
@@ -109,6 +112,7 @@
 		c.release(true, 0)
 		return nil, &Error{Cause: err}
 	}
+	r.Carried.add(c)
 	resp, err := c.roundTrip(r)
 	if err != nil {
 		sent := c.bytesSent.Load()
@@ -305,6 +309,8 @@
 	net.Conn
 	pool    *Pool
 	address string
+	// serial is unique within the pool.
+	serial uint64
 	// source is what reader reads from.
 	source       *headLimiter
 	reader       *bufio.Reader
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -310,3 +310,23 @@
 		t.Errorf("request on a new connection: body %q, error %v; want x", body, err)
 	}
 }
+
+// Guards against a second request with the same ID on a connection, where a copy of the
+// first response would pass for the second one.
+func TestConnectionCarriesCallOnce(t *testing.T) {
+	address, _ := startUpstream(t, response("1", "one"), response("2", "two"))
+	p := NewPool(nil)
+	var carried Carried
+	for i := range 3 {
+		r := newRequest(address, "1")
+		r.Carried = &carried
+		if body, resp, err := doRequest(p, r); err != nil || body != "one" || resp.Reused {
+			t.Errorf("request %d: %q, error %v; want its own response on a new connection", i, body, err)
+		}
+	}
+	other := newRequest(address, "2")
+	other.Carried = new(Carried)
+	if body, resp, err := doRequest(p, other); err != nil || body != "two" || !resp.Reused {
+		t.Errorf("other call: %q, error %v; want its own response on a reused connection", body, err)
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -91,9 +92,8 @@
 		p.releaseSlot(address)
 		return nil, errors.Wrap(err, "connect")
 	}
-	p.opened.Add(1)
 	source := &headLimiter{source: nc}
-	return &conn{Conn: nc, pool: p, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
+	return &conn{Conn: nc, pool: p, address: address, serial: uint64(p.opened.Add(1)), source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
 // reuseIdle returns the most recently used idle connection, because the upstream is
@@ -104,7 +104,7 @@
 	}
 	now := time.Now()
 	for {
-		c := p.popIdle(r.Address)
+		c := p.popIdle(r.Address, r.Carried)
 		if c == nil {
 			return nil
 		}
@@ -115,19 +115,19 @@
 	}
 }
 
-// popIdle removes and returns the idle connection to the address that was used
-// last, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection to the address that was used last and
+// is not among the carried ones, or nil.
+func (p *Pool) popIdle(address string, carried *Carried) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !carried.has(c) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // reserveSlot counts a connection that is about to be opened, unless maxConns are open
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
@@ -41,6 +42,9 @@
 	Model   ModelParams
 	// ResumeAfter is the ID of the last event that the client has received.
 	ResumeAfter string
+	// Carried holds the connections that have carried attempts of the call. All of them
+	// name the same ID.
+	Carried exchange.Carried
 	// RetryAge is the estimated time that the client spent on earlier attempts of
 	// the same request. It is 0 for a first attempt.
 	RetryAge time.Duration
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -386,6 +386,7 @@
 		EchoID:     c.ID,
 		MaxIdle:    maxIdle,
 		MaxConns:   g.connLimit(c),
+		Carried:    &c.Carried,
 		Admit:      func() error { return checkUsable(u) },
 	})
 	if r.err != nil {
