Believe a refusal only if it names the request

A server that wrote a refusal of another request there was believed: a booking ran, and was sent to a second server.

Change: a refusal without the id of the request proves nothing; the request may have run.

Evidence: TestServerFaults (writes refusals without a name) failed before, with two executions of a booking, and passes now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -119,6 +119,9 @@
 	Unverified
 )
 
+// refused reports whether the response says that the request was not executed.
+func (c ResponseClass) refused() bool { return c == NotExecuted || c == WrongInstance }
+
 // String returns the name of the class in logs.
 func (c ResponseClass) String() string {
 	switch c {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -395,10 +395,14 @@
 		return r
 	}
 	r.class = g.Protocol.ClassifyResponse(s.Purpose, r.resp.Status, r.resp.Header)
+	if r.class.refused() && !r.resp.Echoed {
+		// A refusal that names no request may belong to another one.
+		r.class = Unverified
+	}
 	r.mayHaveRun = r.class == Answered || r.class == Unverified
 	g.recordLimit(u, s.To, r.resp, r.class)
 	g.recordLeaving(u, s.To, r.resp, r.class)
-	if r.class == NotExecuted || r.class == WrongInstance {
+	if r.class.refused() {
 		// An error here only means that the connection is not reused.
 		if _, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, maxBufferedResponse)); err != nil {
 			g.Logger.Debug("cannot read the rest of an upstream's refusal", "request", c.ID, "upstream", s.To.ID, "err", err)
