Pass no status on that promises what the upstream does not state

Cause: a server's own 503, 429 or 408 without the mark of a refusal was passed on as it was. To a client these statuses promise that the request has not run and never will; only the mark states that.

Change: such an answer is a failed attempt whose outcome is unknown: calls that may be repeated are, all others get 502.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -117,6 +117,9 @@
 	// Unverified marks a response without proof that it results from a run of the
 	// request at the upstream.
 	Unverified
+	// UnprovenRefusal marks a response whose status says that the request was not executed,
+	// although the upstream does not state that. It must not reach a client as it is.
+	UnprovenRefusal
 )
 
 // refused reports whether the response says that the request was not executed.
@@ -131,6 +134,8 @@
 		return "not_executed"
 	case WrongInstance:
 		return "wrong_instance"
+	case UnprovenRefusal:
+		return "unproven_refusal"
 	default:
 		return "unverified"
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -399,7 +399,7 @@
 		// A refusal that names no request may belong to another one.
 		r.class = Unverified
 	}
-	r.mayHaveRun = r.class == Answered || r.class == Unverified
+	r.mayHaveRun = !r.class.refused()
 	g.recordLimit(u, s.To, r.resp, r.class)
 	g.recordLeaving(u, s.To, r.resp, r.class)
 	if r.class.refused() {
@@ -409,9 +409,14 @@
 		}
 		_ = r.resp.Body.Close()
 	}
-	if r.class == Unverified {
-		_ = r.resp.Body.Close()
+	switch r.class {
+	case Unverified:
 		r.err = errors.Errorf("response of upstream %s with status %d does not prove that the upstream ran the request", s.To.ID, r.resp.Status)
+	case UnprovenRefusal:
+		r.err = errors.Errorf("response of upstream %s with status %d does not state that the upstream did not run the request", s.To.ID, r.resp.Status)
+	}
+	if r.err != nil {
+		_ = r.resp.Body.Close()
 	}
 	return r
 }
@@ -453,6 +458,8 @@
 			u.RecordUnreachable(now, unreachablePause)
 			g.Pool.CloseIdle(u.Instance().Address)
 		}
+	case r.class == UnprovenRefusal:
+		u.RecordError()
 	case r.err != nil:
 		u.RecordUnreachable(now, unreachablePause)
 	case r.class == NotExecuted:
