Round limits as reports do, so that a report is no change

Cause: gossip reports limits as 32-bit numbers. 1.8 became 1.79999995, so the limit seemed to change with each report and each answer, and the pace was cut back to one interval each time, although a placement takes two. A gateway placed twice as often as it should.

Change: a limit is kept with the precision of the reports.

Evidence: TestReportedLimitIsNoChange failed before.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -31,6 +31,7 @@
 // RecordLimit records whether an answer of the upstream names a limit on the requests
 // of all gateways, and which. It reports whether the limit in force has changed.
 func (u *Upstream) RecordLimit(perSecond float64, named bool, now time.Time) (changed bool) {
+	perSecond = roundLimit(perSecond)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if named {
@@ -45,9 +46,14 @@
 	return true
 }
 
+// roundLimit returns the limit with the precision that processes report it with. The limit
+// would seem to change with each report otherwise, and its pace would begin anew.
+func roundLimit(perSecond float64) float64 { return float64(float32(perSecond)) }
+
 // RecordReportedLimit records a limit that the upstream named to another process at the
 // given time. It reports whether the limit in force has changed.
 func (u *Upstream) RecordReportedLimit(perSecond float64, namedAt time.Time) (changed bool) {
+	perSecond = roundLimit(perSecond)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !namedAt.After(u.limit.namedAt) || !namedAt.After(u.limit.endedAt) {
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -27,3 +27,23 @@
 		t.Error("a newer report was ignored")
 	}
 }
+
+// Guards against a limit that seems to change whenever another process reports it, because
+// reports are less precise than answers. Its pace would begin anew each time.
+func TestReportedLimitIsNoChange(t *testing.T) {
+	var u Upstream
+	now := time.Unix(1000, 0)
+	u.RecordLimit(1.8, true, now)
+	u.LimitWait(3, now) // sets the pace
+	if !u.TakeLimit(2, 3, now.Add(time.Minute)) {
+		t.Fatal("the limit allows no request")
+	}
+	taken := now.Add(time.Minute)
+	before := u.LimitWait(3, taken)
+	if u.RecordReportedLimit(float64(float32(1.8)), taken) || u.RecordLimit(1.8, true, taken.Add(time.Millisecond)) {
+		t.Error("the limit has changed")
+	}
+	if after := u.LimitWait(3, taken); after != before {
+		t.Errorf("the wait is %v after a report, and was %v", after, before)
+	}
+}
