Leave a server alone for as long as its 503 asks

Cause: the gateway left a server that had refused alone for 60 ms, and did not read the header.

Change: a 503 with Retry-After, to a request, a prefill or a reservation, keeps this gateway's requests from the server until then; the check before each send applies it too.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -93,11 +93,36 @@
 
 // limitWait is LimitWait. The caller holds u.mu.
 func (u *Upstream) limitWait(gateways int, now time.Time) time.Duration {
+	wait := max(0, u.notBefore.Sub(now))
 	if u.limit.namedAt.IsZero() {
-		return 0
+		return wait
 	}
 	u.limit.pace.Set(pace.ShareOf(u.limit.perSecond, gateways), rand.Float64(), now)
-	return u.limit.pace.Wait(now)
+	return max(wait, u.limit.pace.Wait(now))
+}
+
+// maxRetryAfter limits how long a single answer keeps this process from an upstream.
+const maxRetryAfter = 10 * time.Minute
+
+// RecordRetryAfter records that the upstream has turned a request away and wants none from
+// this process for the given time.
+func (u *Upstream) RecordRetryAfter(after time.Duration, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if until := now.Add(min(after, maxRetryAfter)); until.After(u.notBefore) {
+		u.notBefore = until
+	}
+}
+
+// Admits reports whether this process may send the upstream a request that it has selected
+// it for.
+func (u *Upstream) Admits(now time.Time) bool {
+	if !u.Usable() {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !now.Before(u.notBefore)
 }
 
 // TakeLimit reports whether this process may send the upstream a request that consists
@@ -105,12 +130,11 @@
 func (u *Upstream) TakeLimit(calls, gateways int, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.limit.namedAt.IsZero() {
-		return true
-	}
 	if u.limitWait(gateways, now) > 0 {
 		return false
 	}
-	u.limit.pace.Take(calls, now)
+	if !u.limit.namedAt.IsZero() {
+		u.limit.pace.Take(calls, now)
+	}
 	return true
 }
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -45,6 +45,8 @@
 	pausedUntil time.Time
 	// refusalStreak is the number of consecutive refused requests.
 	refusalStreak int
+	// notBefore is the time before which the upstream wants no requests of this process.
+	notBefore time.Time
 	// limit is the limit on the requests of all gateways that the upstream named.
 	limit namedLimit
 }
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -38,6 +38,7 @@
 func (testProtocol) EchoHeader() string                           { return "" }
 func (testProtocol) FormatRetryAfter(d time.Duration) string      { return fmt.Sprint(d.Seconds()) }
 func (testProtocol) RateLimit(http.Header) (float64, bool, error) { return 0, false, nil }
+func (testProtocol) RetryAfter(int, http.Header) time.Duration    { return 0 }
 func (testProtocol) SaysLeaving(http.Header) bool                 { return false }
 func (testProtocol) ClassifyResponse(gateway.Purpose, int, http.Header) gateway.ResponseClass {
 	return gateway.Answered
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -157,6 +157,9 @@
 	// names in its response, in requests a second, and whether it names one. The error
 	// describes a value that cannot be read and is ignored.
 	RateLimit(h http.Header) (perSecond float64, named bool, err error)
+	// RetryAfter returns for how long an upstream that turned a request away wants none of
+	// this gateway, or 0 if its response does not say.
+	RetryAfter(status int, h http.Header) time.Duration
 	// SaysLeaving reports whether an upstream says in its response that it is leaving.
 	SaysLeaving(h http.Header) bool
 	// FormatRetryAfter returns the value of the Retry-After header.
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/fleet"
 )
@@ -23,6 +25,20 @@
 	}
 }
 
+// recordRetryAfter records for how long an upstream that turned a request away wants none
+// of this gateway.
+func (g *Gateway) recordRetryAfter(u *fleet.Upstream, instance *fleet.Instance, resp *exchange.Response, class ResponseClass) {
+	if class == WrongInstance || class == Unverified {
+		return
+	}
+	after := g.Protocol.RetryAfter(resp.Status, resp.Header)
+	if after <= 0 {
+		return
+	}
+	u.RecordRetryAfter(after, time.Now())
+	g.Logger.Info("upstream wants no requests for a while", "upstream", instance.ID, "service", instance.Service, "retry_after_ms", after.Milliseconds())
+}
+
 // leavingReports returns the upstreams that have said that they leave, for the other
 // gateways.
 func (g *Gateway) leavingReports() []UpstreamRef {
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -42,7 +42,7 @@
 	// relay is set once the response of an engine has begun.
 	relay *streamRelay
 	// unused is the result of a prefill that no decode engine has imported yet, because
-	// the one that was to do so left. It may be nil.
+	// the one that was to do so must get no requests any more. It may be nil.
 	unused *prefillResult
 	// prefills is the number of prefill requests, and charged that of attempts which the
 	// retry budget has paid for.
@@ -59,7 +59,7 @@
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errUpstreamLeaving) && ctx.Err() == nil && replacements < maxReplacements {
+		if errors.Is(err, errNotAdmitted) && ctx.Err() == nil && replacements < maxReplacements {
 			replacements++
 			m.gateway.Logger.Info("request placed anew", "request", m.call.ID, "prompt_kept", m.unused != nil, "cause", err.Error())
 			continue
@@ -125,8 +125,8 @@
 	return time.Duration(minMillis+rand.IntN(spreadMillis)) * time.Millisecond
 }
 
-// maxReplacements limits how often a request is placed anew because an engine left before
-// the request was sent to it.
+// maxReplacements limits how often a request is placed anew because an engine left, or
+// asked for a pause, before the request was sent to it.
 const maxReplacements = 3
 
 // attempt performs all steps once. retry is true if the request has certainly not
@@ -227,7 +227,7 @@
 	idle := u.PrefillTokens.Load()+backlog.peerTokens == placed.promptTokens
 	r := m.gateway.send(ctx, m.call, u, Attempt{Purpose: Prefill, To: instance, Timeout: m.call.Remaining(began)}, engineMaxIdle)
 	r.duration = time.Since(began)
-	if errors.Is(r.err, errUpstreamLeaving) {
+	if errors.Is(r.err, errNotAdmitted) {
 		m.prefills--
 	}
 	if r.err != nil {
@@ -302,7 +302,7 @@
 	r.duration = time.Since(began)
 	if r.err != nil {
 		m.gateway.recordHealth(ctx, m.call, u, r)
-		if errors.Is(r.err, errUpstreamLeaving) {
+		if errors.Is(r.err, errNotAdmitted) {
 			m.outcome.attempts--
 			m.unused = p
 		} else {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -387,7 +387,7 @@
 		MaxIdle:    maxIdle,
 		MaxConns:   g.connLimit(c),
 		Carried:    &c.Carried,
-		Admit:      func() error { return checkUsable(u) },
+		Admit:      func() error { return checkAdmitted(u) },
 	})
 	if r.err != nil {
 		var failed *exchange.Error
@@ -402,6 +402,7 @@
 	r.mayHaveRun = !r.class.refused()
 	g.recordLimit(u, s.To, r.resp, r.class)
 	g.recordLeaving(u, s.To, r.resp, r.class)
+	g.recordRetryAfter(u, s.To, r.resp, r.class)
 	if r.class.refused() {
 		// An error here only means that the connection is not reused.
 		if _, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, maxBufferedResponse)); err != nil {
@@ -421,17 +422,17 @@
 	return r
 }
 
-// errUpstreamLeaving is the cause of an attempt that was not sent, because its upstream
-// left after it had been selected.
-var errUpstreamLeaving = errors.New("the upstream is leaving")
+// errNotAdmitted is the cause of an attempt that was not sent, because its upstream must
+// get no requests any more, or for a while, since it was selected.
+var errNotAdmitted = errors.New("the upstream is leaving or has asked for a pause")
 
-// checkUsable returns an error if the upstream must get no more requests. It is called
+// checkAdmitted returns an error if the upstream must get no requests now. It is called
 // right before a request is sent, since the upstream may have been selected long before.
-func checkUsable(u *fleet.Upstream) error {
-	if u.Usable() {
+func checkAdmitted(u *fleet.Upstream) error {
+	if u.Admits(time.Now()) {
 		return nil
 	}
-	return errors.Wrap(errUpstreamLeaving, u.Instance().ID)
+	return errors.Wrap(errNotAdmitted, u.Instance().ID)
 }
 
 // connLimit returns how many connections this gateway may open to one upstream of
@@ -448,7 +449,7 @@
 	now := time.Now()
 	g.recordFailedAttempt(ctx, c, r)
 	switch {
-	case errors.Is(r.err, errUpstreamLeaving):
+	case errors.Is(r.err, errNotAdmitted):
 		// Nothing was sent, which says nothing about the upstream's health.
 	case r.err != nil && ctx.Err() != nil:
 		// The gateway or the client ended the attempt. If the time of the request
