Let a stream go on only at the software version that began it

Not seen by the users here; what two versions of a server's software write does not fit together, and servers do not check it.

Cause: no code outside platform/ knew the version. A broken stream was resumed at any decode engine, a client's take-up went anywhere, and a decode engine imported what a prefill engine of another version wrote.

Change: prefill and decode engines are chosen as a pair of one version; a run pins its stream; gateways tell each other by gossip which version began a stream of a resumable route, under the id that clients name in Resumes. A take-up of unknown origin goes on only while a single version has served for 30 s, and is refused at once otherwise, as is one whose version has no server.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,8 @@
 	Revision  revision.Revision
 	byService map[string][]*Upstream
 	byKey     map[instanceKey]*Upstream
+	// versions lists the software versions of each service's upstreams, sorted.
+	versions map[string][]string
 }
 
 // New returns a fleet without upstreams.
@@ -39,6 +41,18 @@
 // Service returns the upstreams of a service, including those that are leaving.
 func (s *Snapshot) Service(name string) []*Upstream { return s.byService[name] }
 
+// SoftwareVersions returns the software versions of a service's upstreams, including those
+// that are leaving, sorted. It must not be modified.
+func (s *Snapshot) SoftwareVersions(service string) []string { return s.versions[service] }
+
+// addVersion adds the software version of an upstream of the service.
+func (s *Snapshot) addVersion(service, version string) {
+	list := s.versions[service]
+	if i, found := slices.BinarySearch(list, version); !found {
+		s.versions[service] = slices.Insert(list, i, version)
+	}
+}
+
 // Find returns the upstream with this id and incarnation, or nil.
 func (s *Snapshot) Find(id string, incarnation int64) *Upstream {
 	return s.byKey[instanceKey{id: id, incarnation: incarnation}]
@@ -84,6 +98,7 @@
 		Revision:  listed,
 		byService: make(map[string][]*Upstream),
 		byKey:     make(map[instanceKey]*Upstream, len(instances)),
+		versions:  make(map[string][]string),
 	}
 	var change Change
 	for _, instance := range instances {
@@ -97,6 +112,7 @@
 		u.instance.Store(&instance)
 		next.byKey[instance.key()] = u
 		next.byService[instance.Service] = append(next.byService[instance.Service], u)
+		next.addVersion(instance.Service, instance.SoftwareVersion)
 	}
 	for k, u := range old.byKey {
 		if _, stays := next.byKey[k]; !stays {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -35,10 +35,13 @@
 	Incarnation int64
 	// Heartbeats is the number of heartbeats that the instance had sent since its start
 	// when it described itself like this; 0 if unknown.
-	Heartbeats    uint64
-	Service       string
-	Address       string
-	FailureDomain string
+	Heartbeats uint64
+	Service    string
+	// SoftwareVersion names the release of the upstream's software. What two releases
+	// write does not fit together.
+	SoftwareVersion string
+	Address         string
+	FailureDomain   string
 	// Slots is the number of requests that the upstream can work on at once; 0
 	// if unknown.
 	Slots int
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,6 +42,9 @@
 	Model   ModelParams
 	// ResumeAfter is the ID of the last event that the client has received.
 	ResumeAfter string
+	// Resumes is the ID of the client's attempt that brought the first event, if this
+	// attempt takes a stream up. It may be empty.
+	Resumes string
 	// Carried holds the connections that have carried attempts of the call. All of them
 	// name the same ID.
 	Carried exchange.Carried
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -43,6 +43,16 @@
 		WithRetryAfter(after)
 }
 
+func originUnknownError(after time.Duration) *fault.Error {
+	return fault.New(fault.KindUpstreamUnavailable, "take the stream up again after Retry-After, or begin anew without the last event ID",
+		"it is not known which software version began the stream, and upstreams of several serve").WithRetryAfter(after)
+}
+
+func versionGoneError(version string) *fault.Error {
+	return fault.New(fault.KindUpstreamUnavailable, "take the stream up again after Retry-After, or begin anew without the last event ID",
+		"no upstream with the software version %q, which began the stream, takes work", version).WithRetryAfter(noUpstreamRetryAfter)
+}
+
 func suspendedError(r *quarantine.Refusal) *fault.Error {
 	return fault.New(fault.KindSuspended, "change the request or its prompt, or send it again after Retry-After",
 		"several upstreams crashed while they ran this request or others with a part of its prompt").
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	demandEstimator *demandEstimator
 	crashDetector   *crashDetector
 	storeContacts   peerStoreContacts
+	origins         *streamOrigins
 	// onLoadChange notifies the other gateways of a load change. It may be nil.
 	onLoadChange func()
 }
@@ -70,6 +71,7 @@
 	g.retryAges = newRetryAges()
 	g.demandEstimator = newDemandEstimator()
 	g.crashDetector = newCrashDetector()
+	g.origins = newStreamOrigins()
 	return g
 }
 
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -61,6 +61,9 @@
 	Limits []LimitReport
 	// Leaving lists the upstreams that have said in an answer that they leave.
 	Leaving []UpstreamRef
+	// Origins lists the streams that the sender has begun, with their software versions. A
+	// partial state has only new ones.
+	Origins []StreamOrigin
 	// StoreContact is for how long the sender has been in contact with the store without
 	// a gap; 0 if it is not in contact.
 	StoreContact time.Duration
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -28,7 +28,11 @@
 // decode engine.
 func (g *Gateway) serveModel(ctx context.Context, w http.ResponseWriter, c *Call) outcome {
 	g.retryBudget.RecordRequest(c.Service.Name, c.Received)
-	m := &modelExchange{gateway: g, call: c, w: w}
+	pin, refusal := g.pinVersion(c, time.Now())
+	if refusal != nil {
+		return outcome{err: refusal}
+	}
+	m := &modelExchange{gateway: g, call: c, w: w, pin: pin}
 	m.serve(ctx)
 	return m.outcome
 }
@@ -41,6 +45,8 @@
 	outcome outcome
 	// relay is set once the response of an engine has begun.
 	relay *streamRelay
+	// pin restricts the call to the software version that began its stream.
+	pin versionPin
 	// unused is the result of a prefill that no decode engine has imported yet, because
 	// the one that was to do so must get no requests any more. It may be nil.
 	unused *prefillResult
@@ -94,7 +100,10 @@
 	if final || !m.relay.hasEvents || !m.call.Route.Resumable || m.outcome.attempts >= m.call.Route.MaxAttempts {
 		return false
 	}
-	if !m.gateway.allowRetry(m.call, 0) {
+	if m.relay.events == 0 && m.call.ResumeAfter == "" {
+		m.pin = versionPin{} // the client has no event yet
+	}
+	if !m.gateway.canGoOn(m.call.Service.Name, m.pin) || !m.gateway.allowRetry(m.call, 0) {
 		return false
 	}
 	if id := m.relay.lastID; id != "" {
@@ -193,6 +202,15 @@
 	return m.unused != nil && now.Before(m.unused.expires)
 }
 
+// placementPin returns the restriction for the next placement. The result of a prefill can
+// only be imported by an engine of the same software version.
+func (m *modelExchange) placementPin(now time.Time) versionPin {
+	if m.hasUnused(now) {
+		return versionPin{version: m.unused.engine.Instance().SoftwareVersion, set: true}
+	}
+	return m.pin
+}
+
 // takeUnused returns the result of an earlier prefill that can still be imported, or nil.
 func (m *modelExchange) takeUnused(now time.Time) *prefillResult {
 	p, usable := m.unused, m.hasUnused(now)
@@ -335,6 +353,8 @@
 		u.RecordError()
 		return false, errors.Wrapf(err, "engine %s", instance.ID)
 	}
+	m.pin = versionPin{version: instance.SoftwareVersion, set: true}
+	m.gateway.recordOrigin(m.call, instance)
 	m.relay.beginRun(r.resp)
 	m.outcome.recordResponse(r.resp)
 	m.gateway.scheduler.load.setOutputStart(u, placed.request, time.Now())
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -32,6 +32,7 @@
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
 		Limits:        g.limitReports(),
 		Leaving:       g.leavingReports(),
+		Origins:       g.origins.report(onlyChanged, now),
 		StoreContact:  g.StoreContact(now),
 	}
 	if !onlyChanged {
@@ -60,6 +61,7 @@
 	g.crashDetector.watchlist.AddNotices(s.CrashNotices, now)
 	g.applyLimitReports(s.Limits)
 	g.applyLeavingReports(s.Leaving)
+	g.origins.apply(s.Origins)
 	g.storeContacts.record(peer, s.StoreContact, now)
 	for _, e := range s.Engines {
 		if e.RoleChangeRemaining > 0 {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -35,6 +35,8 @@
 // prefillChoice is the selected prefill engine.
 type prefillChoice struct {
 	engine *fleet.Upstream
+	// pin restricts the decode engine to the software version of the prefill engine.
+	pin versionPin
 	// wait is the time until the engine has processed the prompts that it already
 	// has.
 	wait time.Duration
@@ -64,7 +66,7 @@
 		name := w.call.Service.Name
 		choice, ok := choices[name]
 		if !ok {
-			choice = s.selectPrefillEngine(name, w.call.Model.PromptTokens, now)
+			choice = s.selectPrefillEngine(name, w.call.Model.PromptTokens, versionPin{}, now)
 			choices[name] = choice
 		}
 		w.updateQueueState(now, min(choice.wait, maxPrefillWait(w.call.Route)))
@@ -127,14 +129,18 @@
 // tryPlace places the request if an engine has capacity for it. The caller holds
 // s.mu.
 func (s *scheduler) tryPlace(ctx context.Context, w *waitingRequest, contended bool, turn *turnDelay, now time.Time) bool {
-	var choice prefillChoice
-	if !w.promptReady {
-		choice = s.selectPrefillEngine(w.call.Service.Name, w.call.Model.PromptTokens, now)
-	}
-	if choice.wait > maxPrefillWait(w.call.Route) {
-		return false
+	for _, c := range s.prefillChoices(w, now) {
+		if c.wait <= maxPrefillWait(w.call.Route) && s.tryPlaceAt(ctx, w, c, contended, turn, now) {
+			return true
+		}
 	}
-	u := s.selectDecodeEngine(w, contended, choice.engine, turn, now)
+	return false
+}
+
+// tryPlaceAt places the request if a decode engine has capacity for it that fits the
+// selected prefill engine. The caller holds s.mu.
+func (s *scheduler) tryPlaceAt(ctx context.Context, w *waitingRequest, choice prefillChoice, contended bool, turn *turnDelay, now time.Time) bool {
+	u := s.selectDecodeEngine(w, contended, choice, turn, now)
 	if u == nil {
 		return false
 	}
@@ -150,11 +156,11 @@
 
 // selectPrefillEngine returns the prefill engine with the lowest cost for a prompt,
 // which is mainly its waiting time. The engine is nil if none is available.
-func (s *scheduler) selectPrefillEngine(service string, promptTokens int, now time.Time) prefillChoice {
-	var best prefillChoice
+func (s *scheduler) selectPrefillEngine(service string, promptTokens int, pin versionPin, now time.Time) prefillChoice {
+	best := prefillChoice{pin: pin}
 	var bestCost time.Duration
 	for _, u := range s.gateway.Fleet.Snapshot().Service(service) {
-		if !u.Usable() || u.Instance().Role != fleet.RolePrefill {
+		if !u.Usable() || u.Instance().Role != fleet.RolePrefill || !pin.allows(u.Instance()) {
 			continue
 		}
 		h := u.Health(now)
@@ -168,16 +174,17 @@
 			cost += crossDomainWait
 		}
 		if best.engine == nil || cost < bestCost {
-			best, bestCost = prefillChoice{engine: u, wait: wait, prompt: state.speed.PrefillTime(float64(promptTokens))}, cost
+			best, bestCost = prefillChoice{engine: u, pin: pin, wait: wait, prompt: state.speed.PrefillTime(float64(promptTokens))}, cost
 		}
 	}
 	return best
 }
 
 // selectDecodeEngine returns the decode engine with the most room for the request,
-// or nil if none has enough. If prefill is nil, the decode engine must also process
-// the prompt, so engines that already process one are skipped.
-func (s *scheduler) selectDecodeEngine(w *waitingRequest, contended bool, prefill *fleet.Upstream, turn *turnDelay, now time.Time) *fleet.Upstream {
+// or nil if none has enough. If the choice has no prefill engine, the decode engine must
+// also process the prompt, so engines that already process one are skipped.
+func (s *scheduler) selectDecodeEngine(w *waitingRequest, contended bool, choice prefillChoice, turn *turnDelay, now time.Time) *fleet.Upstream {
+	prefill := choice.engine
 	limit := s.fillLimits(w.call.Service).For(&w.queueState, contended)
 	if limit <= 0 {
 		return nil
@@ -188,7 +195,7 @@
 	var bestCost float64
 	hasCapacity := false
 	for _, u := range s.gateway.Fleet.Snapshot().Service(w.call.Service.Name) {
-		if !u.Usable() || u.Instance().Role != fleet.RoleDecode {
+		if !u.Usable() || u.Instance().Role != fleet.RoleDecode || !choice.pin.allows(u.Instance()) {
 			continue
 		}
 		h := u.Health(now)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -223,7 +223,7 @@
 
 // startAttempt sends the call to the best upstream that has not been tried yet.
 func (p *plainExchange) startAttempt(ctx context.Context) bool {
-	choice := p.gateway.choosePlain(p.call.Service.Name, p.tried)
+	choice := p.gateway.choosePlain(p.call.Service.Name, p.tried, versionPin{})
 	p.limitWait = choice.wait
 	u := choice.upstream
 	if u == nil {
@@ -290,7 +290,7 @@
 
 // choosePlain selects the upstream with the lowest cost that has not been tried, and
 // counts the request against its limit.
-func (g *Gateway) choosePlain(service string, tried []*fleet.Upstream) plainChoice {
+func (g *Gateway) choosePlain(service string, tried []*fleet.Upstream, pin versionPin) plainChoice {
 	now := time.Now()
 	ups := g.Fleet.Snapshot().Service(service)
 	gateways := g.RecentGateways()
@@ -300,7 +300,7 @@
 	for _, u := range ups {
 		h := u.Health(now)
 		f := u.Instance()
-		excluded := !u.Usable() || contains(tried, u)
+		excluded := !u.Usable() || !pin.allows(f) || contains(tried, u)
 		if wait := u.LimitWait(gateways, now); !excluded && wait > 0 {
 			excluded = true
 			choice.wait = shorter(choice.wait, wait)
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -16,9 +16,13 @@
 func (g *Gateway) servePlainStream(ctx context.Context, w http.ResponseWriter, c *Call) outcome {
 	g.retryBudget.RecordRequest(c.Service.Name, c.Received)
 	var res outcome
+	pin, refusal := g.pinVersion(c, time.Now())
+	if refusal != nil {
+		return outcome{err: refusal}
+	}
 	var tried []*fleet.Upstream
 	for {
-		choice := g.choosePlain(c.Service.Name, tried)
+		choice := g.choosePlain(c.Service.Name, tried, pin)
 		u := choice.upstream
 		if u == nil && choice.wait > 0 {
 			res.err = limitedError(choice.wait)
@@ -63,6 +67,7 @@
 	}
 	defer func() { _ = r.resp.Body.Close() }()
 	res.status = r.resp.Status
+	g.recordOrigin(c, r.instance)
 	g.writeHead(w, r.resp)
 	w.WriteHeader(r.resp.Status)
 	relay := newStreamRelay(w)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -43,6 +43,8 @@
 	firstEventDeadline time.Time
 	// refuseAt is the time at which the request is refused.
 	refuseAt time.Time
+	// pin restricts the engines of the request to one software version.
+	pin versionPin
 	// promptReady means that the prompt has been processed already.
 	promptReady bool
 	// isRetry means that the client presumably sent the request before; see
@@ -134,6 +136,7 @@
 		case <-turn.C:
 		case now := <-housekeeping.C:
 			s.pruneLoad(now)
+			s.gateway.origins.prune(s.gateway.Fleet.Snapshot(), now)
 			s.reportSpeeds()
 			s.gateway.settleCrashes(now)
 			s.gateway.Pool.CloseExpired(now)
@@ -200,6 +203,7 @@
 func (s *scheduler) reserve(ctx context.Context, m *modelExchange) (placement, error) {
 	now := time.Now()
 	w := s.newWaitingRequest(m.call, m.hasUnused(now))
+	w.pin = m.placementPin(now)
 	if !now.Before(w.refuseAt) {
 		return placement{}, s.noCapacityError(w.call)
 	}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -76,7 +76,8 @@
 	b = appendPrefillCounts(b, m.state.Engines)
 	b = appendLimits(b, m.state.Limits, now)
 	b = binary.AppendUvarint(b, uint64(min(max(0, m.state.StoreContact/timeUnit), time.Duration(maxTimeOffset))))
-	return appendLeaving(b, m.state.Leaving)
+	b = appendLeaving(b, m.state.Leaving)
+	return appendOrigins(b, m.state.Origins, now)
 }
 
 func appendString(b []byte, s string) []byte {
@@ -223,6 +224,7 @@
 	m.state.Limits = r.limits(now)
 	m.state.StoreContact = r.storeContact()
 	m.state.Leaving = r.leaving()
+	m.state.Origins = r.origins(now)
 	if r.err == nil && m.sender == "" {
 		r.err = errFormat
 	}
--- a/internal/gossip/codec_test.go
+++ b/internal/gossip/codec_test.go
@@ -38,6 +38,7 @@
 		Limits:       []gateway.LimitReport{{ID: "i-2", Incarnation: 1700000000000, PerSecond: 5.5, NamedAt: now.Add(-300 * time.Millisecond)}},
 		StoreContact: 40 * time.Second,
 		Leaving:      []gateway.UpstreamRef{{ID: "i-3", Incarnation: 1700000000000}},
+		Origins:      []gateway.StreamOrigin{{Key: 1 << 63, Version: "v2", Begun: now.Add(-2 * time.Second)}},
 	}}
 }
 
@@ -57,15 +58,15 @@
 
 // Guards against rejecting messages of earlier releases, which end where the crash
 // notices, the queue head, the service reports, the prefill counts, the limits, the
-// contact with the store or the leaving upstreams begin.
+// contact with the store, the leaving upstreams or the origins of streams begin.
 func TestMessageOfEarlierRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	want := sampleMessage(now)
 	want.state.CrashNotices, want.state.QueueHead, want.state.Services, want.state.Limits = nil, nil, nil, nil
-	want.state.StoreContact, want.state.Leaving = 0, nil
+	want.state.StoreContact, want.state.Leaving, want.state.Origins = 0, nil, nil
 	want.state.Engines[0].PrefillTokensSent = 0
 	data := encode(want, now)
-	for missing := range 8 {
+	for missing := range 9 {
 		got, err := decode(data[:len(data)-missing], now) // each of these parts takes one byte if empty
 		if err != nil {
 			t.Fatalf("without the last %d parts: %v", missing, err)
