Count bodies in chunks while they are read

Cause: the memory of a body without a length was counted only when the whole body had been read.

Change: the buffer of such a body grows in steps that are counted before they are taken, with both buffers while one is copied; beyond the limit the client gets 503 and its request has not run. An own 503 of a server is no longer noted as an interrupted run, since the server has answered.

--- /dev/null
+++ b/internal/gateway/body_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/go-faster/errors"
+)
+
+// Guards against bodies in chunks whose memory is not counted while they are read.
+func TestBodyOfUnknownLengthIsCounted(t *testing.T) {
+	const limit = 4 << 20
+	cases := []struct {
+		name    string
+		others  int64
+		size    int
+		wantErr error
+	}{
+		{"empty", 0, 0, nil},
+		{"fits", 0, 1 << 20, nil},
+		{"at the limit", 0, limit, nil},
+		{"above the limit", 0, limit + 1, errBodyTooLong},
+		{"others fill the memory", maxBufferedBodies - 100<<10, 1 << 20, errBodyMemory},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := new(Gateway)
+			g.bodyBytes.Store(c.others)
+			most := int64(0)
+			body := &watchedReader{Reader: bytes.NewReader(make([]byte, c.size)), onRead: func() { most = max(most, g.bodyBytes.Load()-c.others) }}
+			got, err := g.readReserved(body, -1, limit)
+			if !errors.Is(err, c.wantErr) || (err == nil && len(got) != c.size) {
+				t.Errorf("%d bytes, error %v; want %d, %v", len(got), err, c.size, c.wantErr)
+			}
+			if left := g.bodyBytes.Load() - c.others; left != int64(len(got)) {
+				t.Errorf("%d bytes counted afterwards; want %d", left, len(got))
+			}
+			if c.wantErr == nil && most < int64(c.size) {
+				t.Errorf("%d bytes counted at most while %d were read", most, c.size)
+			}
+		})
+	}
+}
+
+// watchedReader calls onRead before each read.
+type watchedReader struct {
+	io.Reader
+	onRead func()
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(p []byte) (int, error) {
+	r.onRead()
+	return r.Reader.Read(p)
+}
--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -115,7 +115,7 @@
 // its prompt: all requests at a silent upstream end that way.
 func (g *Gateway) recordFailedAttempt(ctx context.Context, c *Call, r *attemptResult) {
 	switch {
-	case r.err == nil || !r.mayHaveRun:
+	case r.err == nil || !r.mayHaveRun || r.class == UnprovenRefusal:
 	case ctx.Err() == nil:
 		g.recordInterruption(c, r.instance, nil, c.subjects())
 	case errors.Is(context.Cause(ctx), errDeadlineExceeded):
