--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,10 +28,6 @@
 	nonRepeatableMaxIdle = 700 * time.Millisecond
 	// repeatableMaxIdle is the same limit for requests that can be repeated.
 	repeatableMaxIdle = 3 * time.Second
-	// unreachablePause is how long an upstream that did not respond is not selected.
-	unreachablePause = 400 * time.Millisecond
-	// fullPause is how long an upstream that refused work is not selected.
-	fullPause = 60 * time.Millisecond
 	// maxUnsent limits the attempts that did not reach an upstream.
 	maxUnsent = 4
 	// hedgeDelay is how long an idempotent request waits for a response before it is
@@ -43,35 +39,8 @@
 	// retryReserve is the share of the retry budget that retries of failed responses
 	// leave for requests that no upstream has run.
 	retryReserve = 0.1
-	// connLimitDivisor reduces each gateway's share of an upstream's connection
-	// limit, which leaves connections for gateways that are not known yet.
-	connLimitDivisor = 1.5
-	// minConns is the minimum number of connections that a gateway may open to an
-	// upstream.
-	minConns = 3
 )
 
-// attemptResult is the result of one attempt.
-type attemptResult struct {
-	upstream *fleet.Upstream
-	// instance holds the upstream's properties at the time of the attempt.
-	instance *fleet.Instance
-	resp     *exchange.Response
-	body     []byte
-	class    ResponseClass
-	err      error
-	// mayHaveRun is false only if the upstream certainly did not run the request.
-	mayHaveRun bool
-	duration   time.Duration
-}
-
-func (r *attemptResult) answered() bool { return r.err == nil && r.class == Answered }
-
-// acceptable reports whether the response can be forwarded without another attempt.
-func (r *attemptResult) acceptable() bool {
-	return r.answered() && r.resp.Status < http.StatusInternalServerError
-}
-
 // servePlain answers a call to a service that is not a model engine.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *Call) outcome {
 	g.retryBudget.RecordRequest(c.Service.Name, c.Received)
@@ -191,25 +160,6 @@
 	return p.gateway.allowRetry(p.call, retryReserve) && p.startAttempt(ctx)
 }
 
-// logFailedAttempt logs the reason why an attempt gave no usable response.
-func (g *Gateway) logFailedAttempt(c *Call, r *attemptResult) {
-	cause := ""
-	if r.err != nil {
-		cause = r.err.Error()
-	}
-	fields := append(r.logFields(), "ms", r.duration.Milliseconds(), "cause", cause)
-	g.Logger.Info("attempt failed", append([]any{"request", c.ID}, fields...)...)
-}
-
-// logFields returns what tells why an attempt counts as executed or not.
-func (r *attemptResult) logFields() []any {
-	fields := []any{"upstream", r.instance.ID, "may_have_run", r.mayHaveRun}
-	if r.resp == nil {
-		return append(fields, "status", 0)
-	}
-	return append(fields, "status", r.resp.Status, "class", r.class.String(), "conn_reused", r.resp.Reused, "echoed", r.resp.Echoed)
-}
-
 // startFirst starts the first attempt. If the limits of the upstreams forbid it now, it
 // waits for them as long as the response can still be in time.
 func (p *plainExchange) startFirst(ctx context.Context) bool {
@@ -371,122 +321,6 @@
 	return r
 }
 
-// send performs one attempt and classifies the response. The body is left unread if
-// the class is Answered.
-func (g *Gateway) send(ctx context.Context, c *Call, u *fleet.Upstream, s Attempt, maxIdle time.Duration) *attemptResult {
-	r := &attemptResult{upstream: u, instance: s.To}
-	r.resp, r.err = g.Pool.Do(ctx, &exchange.Request{
-		Address:    s.To.Address,
-		Method:     c.Method,
-		Target:     c.Target,
-		Host:       c.Host,
-		Header:     g.Protocol.AttemptHeader(c, s),
-		Body:       c.Body,
-		EchoHeader: g.Protocol.EchoHeader(),
-		EchoID:     c.ID,
-		MaxIdle:    maxIdle,
-		MaxConns:   g.connLimit(c),
-		Carried:    &c.Carried,
-		Admit:      func() error { return checkAdmitted(u) },
-	})
-	if r.err != nil {
-		var failed *exchange.Error
-		r.mayHaveRun = !errors.As(r.err, &failed) || failed.Sent
-		return r
-	}
-	r.class = g.Protocol.ClassifyResponse(s.Purpose, r.resp.Status, r.resp.Header)
-	if r.class.refused() && !r.resp.Echoed {
-		// A refusal that names no request may belong to another one.
-		r.class = Unverified
-	}
-	r.mayHaveRun = !r.class.refused()
-	g.recordLimit(u, s.To, r.resp, r.class)
-	g.recordLeaving(u, s.To, r.resp, r.class)
-	g.recordRetryAfter(u, s.To, r.resp, r.class)
-	if r.class.refused() {
-		// An error here only means that the connection is not reused.
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, maxBufferedResponse)); err != nil {
-			g.Logger.Debug("cannot read the rest of an upstream's refusal", "request", c.ID, "upstream", s.To.ID, "err", err)
-		}
-		_ = r.resp.Body.Close()
-	}
-	switch r.class {
-	case Unverified:
-		r.err = errors.Errorf("response of upstream %s with status %d does not prove that the upstream ran the request", s.To.ID, r.resp.Status)
-	case UnprovenRefusal:
-		r.err = errors.Errorf("response of upstream %s with status %d does not state that the upstream did not run the request", s.To.ID, r.resp.Status)
-	}
-	if r.err != nil {
-		_ = r.resp.Body.Close()
-	}
-	return r
-}
-
-// errNotAdmitted is the cause of an attempt that was not sent, because its upstream must
-// get no requests any more, or for a while, since it was selected.
-var errNotAdmitted = errors.New("the upstream is leaving or has asked for a pause")
-
-// checkAdmitted returns an error if the upstream must get no requests now. It is called
-// right before a request is sent, since the upstream may have been selected long before.
-func checkAdmitted(u *fleet.Upstream) error {
-	if u.Admits(time.Now()) {
-		return nil
-	}
-	return errors.Wrap(errNotAdmitted, u.Instance().ID)
-}
-
-// connLimit returns how many connections this gateway may open to one upstream of
-// the call's service, or 0 if there is no limit.
-func (g *Gateway) connLimit(c *Call) int {
-	if c.Service.MaxConns <= 0 {
-		return 0
-	}
-	return max(minConns, int(float64(c.Service.MaxConns)/(connLimitDivisor*float64(max(1, g.RecentGateways())))))
-}
-
-// recordHealth updates the health of the upstream from the result.
-func (g *Gateway) recordHealth(ctx context.Context, c *Call, u *fleet.Upstream, r *attemptResult) {
-	now := time.Now()
-	g.recordFailedAttempt(ctx, c, r)
-	switch {
-	case errors.Is(r.err, errNotAdmitted):
-		// Nothing was sent, which says nothing about the upstream's health.
-	case r.err != nil && ctx.Err() != nil:
-		// The gateway or the client ended the attempt. If the time of the request
-		// ran out while the upstream was silent, the upstream may still be
-		// unreachable.
-		if errors.Is(context.Cause(ctx), errDeadlineExceeded) && !u.AnsweredSince(now.Add(-r.duration)) {
-			u.RecordUnreachable(now, unreachablePause)
-			g.Pool.CloseIdle(u.Instance().Address)
-		}
-	case r.class == UnprovenRefusal:
-		u.RecordError()
-	case r.err != nil:
-		u.RecordUnreachable(now, unreachablePause)
-	case r.class == NotExecuted:
-		u.RecordFull(now, fullPause)
-	case r.class == WrongInstance:
-		u.RecordUnreachable(now, unreachablePause)
-	case r.resp.Status >= http.StatusInternalServerError:
-		u.RecordError()
-	default:
-		u.RecordSuccess(r.duration)
-	}
-}
-
-// readResponse reads the response body up to maxBufferedResponse.
-func readResponse(resp *exchange.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse))
-	if err != nil {
-		_ = resp.Body.Close()
-		return nil, errors.Wrap(err, "read response body")
-	}
-	if len(body) < maxBufferedResponse {
-		_ = resp.Body.Close()
-	}
-	return body, nil
-}
-
 // writeResponse forwards a response. If it returns an error, the forwarded response
 // is incomplete and the client's connection must be closed.
 func (g *Gateway) writeResponse(ctx context.Context, w http.ResponseWriter, c *Call, r *attemptResult) error {
