Count silent crashes also when the client leaves before its deadline

Cause: a run at an upstream that stayed silent counted as a possible crash only when the deadline of the request ended it. The client of a stream leaves long before.

--- a/internal/gateway/crashdetector.go
+++ b/internal/gateway/crashdetector.go
@@ -17,6 +17,9 @@
 	// soundEvents is the number of events after which a run proves the parts of its prompt
 	// sound. A part that crashes engines does so when the output begins.
 	soundEvents = 2
+	// suspectSilence is the silence of an upstream after which a client that leaves may
+	// have left because of a crash. Clients wait at least that long for an event.
+	suspectSilence = 2 * time.Second
 )
 
 // crashDetector prevents requests that crash upstreams from being sent again.
@@ -111,14 +114,15 @@
 
 // recordFailedAttempt records an attempt without a usable response if the upstream
 // may have crashed. A broken connection counts. An upstream that stayed silent until
-// the deadline of the request counts against the request, but not against the parts of
-// its prompt: all requests at a silent upstream end that way.
+// the deadline of the request, or for so long that the client left, counts against the
+// request, but not against the parts of its prompt: all requests at a silent upstream end
+// that way.
 func (g *Gateway) recordFailedAttempt(ctx context.Context, c *Call, r *attemptResult) {
 	switch {
 	case r.err == nil || !r.mayHaveRun || r.class == UnprovenRefusal:
 	case ctx.Err() == nil:
 		g.recordInterruption(c, r.instance, nil, c.subjects())
-	case errors.Is(context.Cause(ctx), errDeadlineExceeded):
+	case errors.Is(context.Cause(ctx), errDeadlineExceeded) || r.duration >= suspectSilence:
 		g.recordInterruption(c, r.instance, nil, []quarantine.Fingerprint{c.fingerprint()})
 	}
 }
@@ -137,6 +141,9 @@
 			g.recordSound(c)
 		}
 	case ctx.Err() != nil || errors.Is(err, errClientDisconnected):
+		if relay.silence(time.Now()) >= suspectSilence {
+			g.recordInterruption(c, instance, relay, []quarantine.Fingerprint{c.fingerprint()})
+		}
 	case relay.provedSound():
 		g.recordInterruption(c, instance, relay, []quarantine.Fingerprint{c.fingerprint()})
 	default:
--- a/internal/gateway/streamrelay.go
+++ b/internal/gateway/streamrelay.go
@@ -31,6 +31,8 @@
 	lastID string
 	// onFirstEvent, if set, is called before the first event is forwarded.
 	onFirstEvent func()
+	// runBegan is the time of the response's head, and lastRead that of the last bytes.
+	runBegan, lastRead time.Time
 	// runEvents is the number of events of the current run.
 	runEvents int
 	// resumed is set if the client has events of an earlier run.
@@ -82,6 +84,7 @@
 	s.pending = s.pending[:0]
 	s.resumed = s.events > 0
 	s.runStart, s.runEvents = time.Time{}, 0
+	s.runBegan, s.lastRead = time.Now(), time.Time{}
 	s.framing = resp.Framing
 	s.hasEvents = isEventStream(resp)
 }
@@ -105,6 +108,11 @@
 	return s.lastWrite.Sub(s.runStart)
 }
 
+// silence returns for how long the current run has sent nothing.
+func (s *streamRelay) silence(now time.Time) time.Duration {
+	return now.Sub(later(s.runBegan, s.lastRead))
+}
+
 // provedSound reports whether the current run has gone on after the beginning of its
 // output, which a part of its prompt that crashes engines would have prevented.
 func (s *streamRelay) provedSound() bool { return s.runEvents >= soundEvents }
@@ -127,6 +135,9 @@
 	var buf [relayBufferSize]byte
 	for {
 		n, err := body.Read(buf[:])
+		if n > 0 {
+			s.lastRead = time.Now()
+		}
 		s.pending = append(s.pending, buf[:n]...)
 		writeErr := s.writeEvents(err == io.EOF && !s.hasEvents)
 		if errors.Is(writeErr, errNoContinuation) {
