--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,6 +68,9 @@
 	listener net.Listener
 	response string
 	ending   ending
+
+	// mu guards what follows.
+	mu sync.Mutex
 	// fleet is that of the gateway.
 	fleet *fleet.Fleet
 	// answered is called before the connection of the response ends. It may be nil.
@@ -87,11 +91,15 @@
 		return 0, err
 	}
 	_ = resp.Body.Close()
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	return u.running, u.runningErr
 }
 
 // Listed implements gateway.ProcessIdentifier.
 func (u *scriptedUpstream) Listed(context.Context, string) (int64, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	return u.listed, u.listedErr
 }
 
@@ -130,9 +138,11 @@
 	_, _ = io.WriteString(c, u.response)
 	// The gateway gets the bytes before the end of the connection.
 	time.Sleep(20 * time.Millisecond)
+	u.mu.Lock()
 	if u.answered != nil {
 		u.answered(u)
 	}
+	u.mu.Unlock()
 	if u.ending == closedByCrash || u.ending == resetByCrash {
 		_ = u.listener.Close()
 	}
@@ -151,7 +161,9 @@
 	route := &routing.Route{Name: "r", Host: "h.example", Prefix: "/", Kind: kind, MaxAttempts: 1, WeightedServices: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	tables.Replace(routing.New(1, []*routing.Route{route}, []*routing.Service{{Name: "s"}}, routing.DefaultLimits()))
 	upstreams.Replace([]fleet.Instance{{ID: "i-1", Incarnation: firstIncarnation, Service: "s", Address: u.listener.Addr().String(), Slots: 4}}, revision.Revision{Number: 1})
+	u.mu.Lock()
 	u.fleet = upstreams
+	u.mu.Unlock()
 	one := func() int { return 1 }
 	g := gateway.New(gateway.Options{
 		Instance: "g", Protocol: testProtocol{}, Pool: exchange.NewPool(nil), Tables: tables, Fleet: upstreams,
@@ -441,7 +453,9 @@
 			t.Run(fmt.Sprintf("%s/%v", c.name, kind), func(t *testing.T) {
 				t.Parallel()
 				u := newScriptedUpstream(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+threeEvents, closedByLivingProcess)
+				u.mu.Lock()
 				u.answered = c.answered
+				u.mu.Unlock()
 				got := request(t, serveThrough(t, u, kind), http.MethodPost, "1.1")
 				if complete := got.complete && got.status == http.StatusOK; complete != c.complete {
 					t.Errorf("status %d, complete %v with %q, want %v", got.status, got.complete, got.body, c.complete)
