--- a/review/7/main.go
+++ b/review/7/main.go
@@ -92,7 +92,7 @@
 			c.Routes[i].TargetLatencyMs = latencyTarget.Milliseconds()
 		}
 	}
-	r.Deployment.Store.Put("op/config", c)
+	r.Configure(c)
 	r.AddPlain("desk-1", 20*time.Millisecond)
 	r.AddEngine("p1", "prefill", "", p)
 	for _, id := range []string{"d1", "d2", "d3"} {
@@ -178,7 +178,7 @@
 		ID: id, Method: http.MethodPost, Host: emulator.Host, Path: emulator.StreamPrefix + id, Body: fmt.Sprint(events), Timeout: deadline,
 		Header: http.Header{
 			"Fescueslip-Model":       {"m"},
-			"Fescueslip-Token-Usage": {fmt.Sprintf("5000,%d", events*59)},
+			emulator.UsageHeader:     {fmt.Sprintf("5000,%d", events*59)},
 			"Fescueslip-Length-Hint": {fmt.Sprint(events * 59)},
 		},
 	}
--- a/review/kit-2/kit.go
+++ b/review/kit-2/kit.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fescueslip/fescueslip/platform"
 	"github.com/fescueslip/fescueslip/platform/emulator"
 )
 
@@ -164,6 +165,11 @@
 	}
 }
 
+// Configure writes the configuration into the store.
+func (r *Run) Configure(c emulator.Configuration) {
+	r.Deployment.Store.Put(names.ConfigurationKey, c)
+}
+
 // AddEngine starts a model server of a software version.
 func (r *Run) AddEngine(id, phase, version string, p emulator.ModelParameters) *emulator.ModelServer {
 	address, err := r.Network.Reserve()
@@ -255,7 +261,7 @@
 // StartProcess starts the process, which must not run.
 func (g *Gateway) StartProcess() error {
 	cmd := exec.Command(g.run.binary, "gateway")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FESCUESLIP_CONFIG=" + g.path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsPathVariable + "=" + g.path}
 	if dir := os.Getenv("GATEWAY_LOGS"); dir != "" {
 		logs, err := os.OpenFile(filepath.Join(dir, g.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
--- a/review/kit-2/streams.go
+++ b/review/kit-2/streams.go
@@ -97,7 +97,7 @@
 			ID: name, Method: http.MethodPost, Host: emulator.Host, Path: emulator.ResumePrefix + id, Body: fmt.Sprint(c.Events), Timeout: left,
 			Header: http.Header{
 				"Fescueslip-Model":       {"m"},
-				"Fescueslip-Token-Usage": {fmt.Sprintf("%d,%d", c.Prompt, c.Events*59)},
+				emulator.UsageHeader:     {fmt.Sprintf("%d,%d", c.Prompt, c.Events*59)},
 				"Fescueslip-Length-Hint": {fmt.Sprint(c.Events * 59)},
 			},
 		}
--- a/review/kit-2/takeups.go
+++ b/review/kit-2/takeups.go
@@ -89,7 +89,7 @@
 		ID: a.id, Method: http.MethodPost, Host: emulator.Host, Path: emulator.ResumePrefix + a.stream, Body: fmt.Sprint(streamEvents), Timeout: timeout,
 		Header: http.Header{
 			"Fescueslip-Model":       {"m"},
-			"Fescueslip-Token-Usage": {fmt.Sprintf("%d,%d", l.Prompt, streamEvents*59)},
+			emulator.UsageHeader:     {fmt.Sprintf("%d,%d", l.Prompt, streamEvents*59)},
 			"Fescueslip-Length-Hint": {fmt.Sprint(streamEvents * 59)},
 		},
 	}
@@ -127,7 +127,7 @@
 	}
 	p := emulator.DefaultModelParameters()
 	p.EventInterval = o.EventInterval
-	r.Deployment.Store.Put("op/config", emulator.ConfigurationFor(1, p))
+	r.Configure(emulator.ConfigurationFor(1, p))
 	r.AddPlain("desk-1", 20*time.Millisecond)
 	for i := range 2 {
 		r.AddEngine(fmt.Sprintf("p%d", i+1), "prefill", "", p)
