--- a/review/7/main.go
+++ b/review/7/main.go
@@ -79,6 +79,8 @@
 }
 
 func main() {
+	// With TROUBLE=0, the disruption is left out.
+	trouble := os.Getenv("TROUBLE") != "0"
 	r, err := kit.New()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -99,7 +101,7 @@
 		r.AddEngine(id, "decode", "", p)
 	}
 	r.AddGateways(3, nil)
-	r.Logf("3 gateways are ready; trouble %t", kit.Trouble())
+	r.Logf("3 gateways are ready; trouble %t", trouble)
 
 	b := &balancer{misses: make(map[*kit.Gateway]int)}
 	ctx, stop := context.WithCancel(context.Background())
@@ -122,7 +124,7 @@
 	time.Sleep(12 * time.Second)
 	stopped := r.Gateways[0]
 	var term time.Time
-	if kit.Trouble() {
+	if trouble {
 		term = time.Now()
 		r.Logf("SIGTERM to %s", stopped.Name)
 		stopped.Signal(syscall.SIGTERM)
--- a/review/kit-2/kit.go
+++ b/review/kit-2/kit.go
@@ -31,9 +31,6 @@
 	readyTime = 15 * time.Second
 )
 
-// Trouble reports whether the disruption of the case is to be played.
-func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
-
 // Network is the loopback network. It implements emulator.Network.
 type Network struct {
 	mu        sync.Mutex
--- a/review/kit-2/takeups.go
+++ b/review/kit-2/takeups.go
@@ -23,6 +23,8 @@
 
 // TakeUps are the figures of a run of CompareTakeUps.
 type TakeUps struct {
+	// Trouble means that the gateway is killed.
+	Trouble bool
 	// EventInterval is the time between two events of a stream, Prompt the length of the
 	// prompts in tokens, and RequestsPerSecond the load of all clients.
 	EventInterval     time.Duration
@@ -136,7 +138,7 @@
 		r.AddEngine(fmt.Sprintf("d%d", i+1), "decode", "", p)
 	}
 	r.AddGateways(4, nil)
-	r.Logf("4 gateways are ready; trouble %t", Trouble())
+	r.Logf("4 gateways are ready; trouble %t", o.Trouble)
 	l := &load{TakeUps: o, run: r, down: make(map[*Gateway]bool)}
 	end := time.Now().Add(32 * time.Second)
 	var all sync.WaitGroup
@@ -149,7 +151,7 @@
 	time.Sleep(16 * time.Second)
 	killed := r.Gateways[0]
 	at := time.Now()
-	if Trouble() {
+	if o.Trouble {
 		l.mu.Lock()
 		l.down[killed] = true
 		l.mu.Unlock()
@@ -193,7 +195,7 @@
 		r.Finish(CouldNot)
 	case takenUp >= leastTakenUp && share(goesOn, takenUp) < share(began, asked)/2:
 		r.Finish(Broken)
-	case Trouble() && takenUp < leastTakenUp:
+	case o.Trouble && takenUp < leastTakenUp:
 		r.Finish(CouldNot)
 	}
 	r.Finish(Held)
