--- a/review/kit-2/streams.go
+++ b/review/kit-2/streams.go
@@ -56,6 +56,9 @@
 // deadline is that of the requests of streaming routes on the sheets of the sites.
 const deadline = 14 * time.Second
 
+// longestPause is the longest time for which a client waits before it takes a stream up.
+const longestPause = 1500 * time.Millisecond
+
 // connectTime is how long a client waits for a new connection.
 const connectTime = time.Second
 
@@ -132,6 +135,9 @@
 			}
 			time.Sleep(after)
 		}
+		if resp.Status != http.StatusServiceUnavailable {
+			time.Sleep(time.Duration(rng.Int64N(int64(longestPause))))
+		}
 		at = (at + 1 + rng.IntN(len(c.Run.Gateways)-1)) % len(c.Run.Gateways)
 	}
 }
