Give the planned stop of a gateway a package of its own

The times of a stop were spread over the handler of requests (2.9 s in which new ones are taken) and the life cycle of the process (0.5 s kept at the end). The reserve at the end follows from the calls in progress, 4 ms each and 0.5 s at least, instead of 0.5 s whatever is in flight; behaviour is otherwise as before.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/fescueslip/fescueslip/internal/roles"
 	"github.com/fescueslip/fescueslip/internal/routing"
 	"github.com/fescueslip/fescueslip/internal/settings"
+	"github.com/fescueslip/fescueslip/internal/shutdown"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
 )
 
@@ -225,6 +226,7 @@
 		Quotas:            gateway.QuotaLimits{Window: s.Quotas.Window, OvershootRatio: s.Quotas.OvershootRatio, OvershootFixed: s.Quotas.OvershootUnits},
 		Incarnation:       gateways.incarnation,
 		Clock:             p.clock(),
+		Shutdown:          shutdown.New(),
 		BufferBytes:       int64(float64(s.Memory.Limit) * bufferMemoryRatio),
 		Logger:            p.Logger,
 		Metrics:           m,
--- a/internal/app/gateway_serve.go
+++ b/internal/app/gateway_serve.go
@@ -24,7 +24,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/ready", func(c *gin.Context) {
-		if g.ShuttingDown() || !t.ready() {
+		if g.Shutdown.HasBegun() || !t.ready() {
 			c.Status(http.StatusServiceUnavailable)
 			return
 		}
@@ -109,9 +109,6 @@
 }
 
 const (
-	// shutdownReserve is the part of the grace period that is kept for the rest of the
-	// shutdown.
-	shutdownReserve = 500 * time.Millisecond
 	// balancerDetectionTime is how long the load balancer keeps sending new connections
 	// to an instance that is not ready: two probes, one second apart, and their
 	// timeouts.
@@ -121,13 +118,13 @@
 )
 
 // drainClients waits until no request is in progress and the load balancer sends no
-// new ones, but no longer than the grace period minus shutdownReserve.
+// new ones, but no longer than until the end of service.
 func drainClients(ctx context.Context, g *gateway.Gateway, grace time.Duration) {
 	start := time.Now()
-	g.BeginShutdown(start)
+	times := g.Shutdown.Begin(start, grace, g.InFlight())
 	for {
 		waited := time.Since(start)
-		if waited >= grace-shutdownReserve || ctx.Err() != nil {
+		if !time.Now().Before(times.EndOfService) || ctx.Err() != nil {
 			return
 		}
 		if waited >= balancerDetectionTime && g.InFlight() == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/fescueslip/fescueslip/internal/httpabort"
 	"github.com/fescueslip/fescueslip/internal/outbuf"
 	"github.com/fescueslip/fescueslip/internal/routing"
+	"github.com/fescueslip/fescueslip/internal/shutdown"
 )
 
 // Options holds the dependencies and settings of a gateway.
@@ -52,16 +53,16 @@
 	// BufferBytes limits what the gateway holds for clients and upstreams together:
 	// request bodies, responses and parts of streams. 0 means defaultBufferBytes.
 	BufferBytes int64
-	Logger      *log.Logger
-	Metrics     *Metrics
+	// Shutdown is the planned stop of the process. Nil means that there is none.
+	Shutdown *shutdown.Shutdown
+	Logger   *log.Logger
+	Metrics  *Metrics
 }
 
 // Gateway is the HTTP handler of the client port.
 type Gateway struct {
 	Options
-	retryBudget *RetryBudget
-	// shutdownStart is the time at which the shutdown began, or nil before that.
-	shutdownStart   atomic.Pointer[time.Time]
+	retryBudget     *RetryBudget
 	inFlight        atomic.Int64
 	memory          *outbuf.Budget
 	scheduler       *scheduler
@@ -78,6 +79,9 @@
 
 // New returns a gateway. Run must be called for it to serve model requests.
 func New(o Options) *Gateway {
+	if o.Shutdown == nil {
+		o.Shutdown = shutdown.New()
+	}
 	g := &Gateway{Options: o, retryBudget: NewRetryBudget(o.Retries, o.RecentGateways)}
 	g.scheduler = newScheduler(g)
 	g.plainQueue = newPlainQueue(g)
@@ -100,10 +104,6 @@
 	responseMargin = 25 * time.Millisecond
 	// defaultBufferBytes limits what a gateway holds for others if no limit is set.
 	defaultBufferBytes = 32 << 20
-	// shutdownGrace is how long a gateway accepts requests after its shutdown began.
-	// The load balancer stops sending after two missed probes, which are one second
-	// apart.
-	shutdownGrace = 2900 * time.Millisecond
 	// defaultTimeout applies when neither the client nor the route sets a time
 	// limit.
 	defaultTimeout = 30 * time.Second
@@ -111,20 +111,6 @@
 	bodyTimeout = 5 * time.Second
 )
 
-// BeginShutdown starts the shutdown. Responses close their connections from now on,
-// and new requests are refused after shutdownGrace.
-func (g *Gateway) BeginShutdown(now time.Time) { g.shutdownStart.CompareAndSwap(nil, &now) }
-
-// ShuttingDown reports whether the shutdown has begun.
-func (g *Gateway) ShuttingDown() bool { return g.shutdownStart.Load() != nil }
-
-// refusesNewRequests reports whether shutdownGrace has passed since the shutdown
-// began.
-func (g *Gateway) refusesNewRequests(now time.Time) bool {
-	since := g.shutdownStart.Load()
-	return since != nil && now.Sub(*since) > shutdownGrace
-}
-
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -133,7 +119,7 @@
 	received := time.Now()
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.ShuttingDown() {
+	if g.Shutdown.HasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	call, err := g.accept(w, r, received)
@@ -211,7 +197,7 @@
 		return nil, fault.From(err)
 	}
 	call.Received = received
-	if g.refusesNewRequests(received) {
+	if g.Shutdown.RefusesCalls(received) {
 		return call, shuttingDownError()
 	}
 	route, ok := table.Match(r.Host, rawPath(r))
--- a/internal/gateway/where.go
+++ b/internal/gateway/where.go
@@ -203,7 +203,7 @@
 			LatencyTargetMs: c.Route.LatencyTarget.Milliseconds(), RetryAgeMs: c.RetryAge.Milliseconds(),
 		},
 	}
-	if g.refusesNewRequests(now) {
+	if g.Shutdown.RefusesCalls(now) {
 		out.Refusal = explainRefusal(shuttingDownError())
 	}
 	out.Account.Refusal = explainRefusal(g.authenticate(c, table))
--- /dev/null
+++ b/internal/shutdown/shutdown.go
@@ -0,0 +1,139 @@
+// Package shutdown keeps the timetable of the planned stop of a process that serves calls.
+//
+// A stop has three times. When it begins, the process counts as not ready, and calls learn
+// by when they must be answered. After the balancer has noticed, new calls are refused. At
+// the end of service, every call without a final answer gets one, and the connections are
+// closed after that. All of it fits into the grace period, after which the process is killed.
+package shutdown
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// acceptTime is how long new calls are accepted after the stop began. The load balancer
+	// stops sending after two missed probes, which are one second apart.
+	acceptTime = 2900 * time.Millisecond
+	// closeTime is the part of the grace period for closing the connections and for what the
+	// process does after that, such as removing its registration.
+	closeTime = 300 * time.Millisecond
+	// answerTime is the time for the final answer to one call that is still in progress at
+	// the end of service, on a small instance.
+	answerTime = 4 * time.Millisecond
+	// minReserve and maxReserveShare bound the time between the end of service and the end
+	// of the grace period; the latter is a part of the grace period.
+	minReserve      = 500 * time.Millisecond
+	maxReserveShare = 0.25
+)
+
+// ErrEnded is the cause of calls that are ended because the process stops.
+var ErrEnded = errors.New("the instance has stopped its service")
+
+// Timetable holds the times of one stop.
+type Timetable struct {
+	Began time.Time
+	// RefusesFrom is the time after which new calls are refused.
+	RefusesFrom time.Time
+	// EndOfService is the time at which each call in progress gets its final answer.
+	EndOfService time.Time
+	// CloseBy is the time by which the connections are closed.
+	CloseBy time.Time
+}
+
+// newTimetable returns the times of a stop that begins now, while inFlight calls are in
+// progress. Each of them may need a final answer after the end of service.
+func newTimetable(now time.Time, grace time.Duration, inFlight int64) *Timetable {
+	reserve := max(minReserve, closeTime+time.Duration(inFlight)*answerTime)
+	reserve = min(reserve, time.Duration(maxReserveShare*float64(grace)))
+	end := now.Add(grace - reserve)
+	t := &Timetable{Began: now, RefusesFrom: now.Add(acceptTime), EndOfService: end, CloseBy: now.Add(grace - min(closeTime, reserve/2))}
+	if end.Before(t.RefusesFrom) {
+		t.RefusesFrom = end
+	}
+	return t
+}
+
+// Shutdown is the planned stop of a process. It may be used concurrently; a nil Shutdown
+// never begins.
+type Shutdown struct {
+	timetable atomic.Pointer[Timetable]
+	once      sync.Once
+	begun     chan struct{}
+	service   context.Context
+	end       context.CancelCauseFunc
+}
+
+// New returns the stop of a process that has not begun.
+func New() *Shutdown {
+	s := &Shutdown{begun: make(chan struct{})}
+	s.service, s.end = context.WithCancelCause(context.Background())
+	return s
+}
+
+// Begin begins the stop, unless it has begun, and returns its timetable. The process is
+// killed when the grace period ends; inFlight is the number of calls in progress.
+func (s *Shutdown) Begin(now time.Time, grace time.Duration, inFlight int64) Timetable {
+	s.once.Do(func() {
+		s.timetable.Store(newTimetable(now, grace, inFlight))
+		close(s.begun)
+	})
+	return *s.timetable.Load()
+}
+
+// Begun returns a channel that is closed when the stop begins.
+func (s *Shutdown) Begun() <-chan struct{} {
+	if s == nil {
+		return nil
+	}
+	return s.begun
+}
+
+// HasBegun reports whether the stop has begun.
+func (s *Shutdown) HasBegun() bool { return s != nil && s.timetable.Load() != nil }
+
+// RefusesCalls reports whether new calls are refused.
+func (s *Shutdown) RefusesCalls(now time.Time) bool {
+	if !s.HasBegun() {
+		return false
+	}
+	return now.After(s.timetable.Load().RefusesFrom)
+}
+
+// EndOfService returns the time by which all calls must be answered, and whether there is one.
+func (s *Shutdown) EndOfService() (end time.Time, begun bool) {
+	if !s.HasBegun() {
+		return time.Time{}, false
+	}
+	return s.timetable.Load().EndOfService, true
+}
+
+// Earliest returns the earlier one of a time and the end of service, and whether it is the
+// end of service.
+func (s *Shutdown) Earliest(t time.Time) (earliest time.Time, byShutdown bool) {
+	if end, begun := s.EndOfService(); begun && end.Before(t) {
+		return end, true
+	}
+	return t, false
+}
+
+// EndService ends the context of WhileServing for all calls.
+func (s *Shutdown) EndService() { s.end(ErrEnded) }
+
+// WhileServing returns a copy of the context that also ends when the service does; its cause
+// is ErrEnded then. The caller must call cancel.
+func (s *Shutdown) WhileServing(ctx context.Context) (_ context.Context, cancel func()) {
+	ctx, end := context.WithCancelCause(ctx)
+	stop := s.OnEnd(func() { end(ErrEnded) })
+	return ctx, func() {
+		stop()
+		end(nil)
+	}
+}
+
+// OnEnd calls f in a goroutine of its own when the service ends, unless stop is called before.
+func (s *Shutdown) OnEnd(f func()) (stop func() bool) { return context.AfterFunc(s.service, f) }
