Answer the requests that a planned stop ends

Cause: a stop was known to the life cycle of the process only. The queues kept their own limits (the client's patience, 8 s on this route), and the port was closed with the connections as they were, under handlers that nobody had told to end. A stop at which the clients leave earlier shows nothing: with a target of 900 ms, the rows with engines pass on the old code.

Change: both queues ask internal/shutdown by when a call must be answered, and refuse at once what can't be. At the end of service, calls end with a cause of their own while their connections are open, and each connection is closed after its response has been sent. Log lines and a counter name what a refused call waited for.

--- a/internal/app/clientserver.go
+++ b/internal/app/clientserver.go
@@ -135,12 +135,34 @@
 
 // close closes the listener and all servers with their open connections.
 func (s *clientServer) close() {
+	for _, server := range s.stopAccepting() {
+		_ = server.Server.Close()
+	}
+}
+
+// shutdown closes the listener and then each connection once the response on it has been
+// sent. Those that are still open when the context ends are closed as they are.
+func (s *clientServer) shutdown(ctx context.Context) {
+	var closing sync.WaitGroup
+	for _, server := range s.stopAccepting() {
+		closing.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				s.log.Info("connections were still open at the end of the shutdown", "err", err)
+				_ = server.Server.Close()
+			}
+		})
+	}
+	closing.Wait()
+}
+
+// stopAccepting closes the listener and returns the servers.
+func (s *clientServer) stopAccepting() []*limitedServer {
 	s.closed.Store(true)
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, server := range s.servers {
 		close(server.done)
-		_ = server.Server.Close()
 	}
+	return s.servers
 }
--- a/internal/app/gateway_serve.go
+++ b/internal/app/gateway_serve.go
@@ -84,8 +84,8 @@
 // and control ports.
 const adminHeaderTimeout = 3 * time.Second
 
-// serveClients serves the client port. At shutdown it waits for the requests in
-// progress, unless the process is killed.
+// serveClients serves the client port. A planned stop drains it first, unless the process is
+// killed.
 func serveClients(p GatewayProcess, g *gateway.Gateway, tables *routing.Holder, b *background, lc fx.Lifecycle) {
 	server := newClientServer(p.ClientListener, g, p.Logger)
 	tables.OnReplace(func(t *routing.Table) { server.setLimits(t.Limits) })
@@ -99,41 +99,13 @@
 				server.close()
 				return nil
 			}
-			p.Logger.Info("shutdown begins", "in_flight", g.InFlight())
-			drainClients(ctx, g, p.Settings.Shutdown.Grace)
-			p.Logger.Info("closing the client port", "in_flight", g.InFlight())
-			server.close()
+			d := clientDrain{gateway: g, server: server, log: p.Logger}
+			d.run(ctx, p.Settings.Shutdown.Grace)
 			return nil
 		},
 	})
 }
 
-const (
-	// balancerDetectionTime is how long the load balancer keeps sending new connections
-	// to an instance that is not ready: two probes, one second apart, and their
-	// timeouts.
-	balancerDetectionTime = 3500 * time.Millisecond
-	// drainPollInterval is how often the number of requests in progress is checked.
-	drainPollInterval = 20 * time.Millisecond
-)
-
-// drainClients waits until no request is in progress and the load balancer sends no
-// new ones, but no longer than until the end of service.
-func drainClients(ctx context.Context, g *gateway.Gateway, grace time.Duration) {
-	start := time.Now()
-	times := g.Shutdown.Begin(start, grace, g.InFlight())
-	for {
-		waited := time.Since(start)
-		if !time.Now().Before(times.EndOfService) || ctx.Err() != nil {
-			return
-		}
-		if waited >= balancerDetectionTime && g.InFlight() == 0 {
-			return
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
-
 // metricsRegistry holds the registry that the metrics endpoint reads.
 type metricsRegistry struct {
 	fx.In
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,6 +131,8 @@
 	defer g.releaseBody(int64(len(call.Body)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.Deadline.Add(-responseMargin), errDeadlineExceeded)
 	defer cancel()
+	ctx, endService := g.Shutdown.WhileServing(ctx)
+	defer endService()
 	var res outcome
 	refusal := g.checkSuspended(call)
 	if refusal == nil {
@@ -146,6 +148,7 @@
 	default:
 		res = g.servePlain(ctx, w, call)
 	}
+	res.err = g.refuseAtEndOfService(ctx, call, res.err)
 	g.finish(w, r, call, res)
 }
 
@@ -198,7 +201,7 @@
 	}
 	call.Received = received
 	if g.Shutdown.RefusesCalls(received) {
-		return call, shuttingDownError()
+		return call, g.refuseForShutdown(call, waitsForNothing, received, received)
 	}
 	route, ok := table.Match(r.Host, rawPath(r))
 	if !ok {
@@ -266,8 +269,12 @@
 		end = c.Deadline
 	}
 	_ = rc.SetReadDeadline(end)
+	stop := g.Shutdown.OnEnd(func() { _ = rc.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := g.readReserved(r.Body, r.ContentLength, limits.BodyBytes)
 	switch {
+	case err != nil && g.Shutdown.HasEnded():
+		return g.refuseForShutdown(c, waitsForBody, c.Received, time.Now())
 	case errors.Is(err, errBodyTooLong):
 		return bodyTooLargeError(limits.BodyBytes)
 	case errors.Is(err, errBodyMemory):
@@ -321,7 +328,7 @@
 	g.Metrics.refused(e.Kind, accountName(c))
 	g.Logger.Info("request refused", "request", id, "host", r.Host, "path", rawPath(r), "kind", string(e.Kind),
 		"status", e.Status(), "cause", causeText(e), "config_version", g.tableVersion())
-	if e.Kind == fault.KindRequestTimeout || e.Kind == fault.KindBodyTooLarge {
+	if e.Kind == fault.KindRequestTimeout || e.Kind == fault.KindBodyTooLarge || g.Shutdown.HasEnded() {
 		// The rest of the body stays unread, so the connection cannot be reused.
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,12 +38,14 @@
 	heldBack       metric.Float64Counter
 	// overloadRefusals counts requests that were refused because the upstreams are full.
 	overloadRefusals metric.Int64Counter
+	// shutdownRefusals counts requests that were refused because the gateway stops.
+	shutdownRefusals metric.Int64Counter
 }
 
 // NewMetrics registers the instruments of a gateway with the meter.
 func NewMetrics(m metric.Meter) (*Metrics, error) {
 	out := &Metrics{}
-	var errs [13]error
+	var errs [14]error
 	out.requests, errs[0] = m.Int64Counter("fescueslip_gateway_requests",
 		metric.WithDescription("Requests that ended, by kind of route and status class."))
 	out.refusals, errs[1] = m.Int64Counter("fescueslip_gateway_refusals",
@@ -70,6 +72,8 @@
 		metric.WithDescription("Time for which streams of upstreams were not read because their clients are slow."), metric.WithUnit("s"))
 	out.overloadRefusals, errs[12] = m.Int64Counter("fescueslip_gateway_overload_refusals",
 		metric.WithDescription("Requests that were refused because the upstreams are full, by service, reason and priority. Displaced requests have the reason displace."))
+	out.shutdownRefusals, errs[13] = m.Int64Counter("fescueslip_gateway_shutdown_refusals",
+		metric.WithDescription("Requests that were refused because the gateway stops, by what they waited for."))
 	return out, errors.Join(errs[:]...)
 }
 
@@ -116,6 +120,14 @@
 		attribute.String("reason", reason), attribute.Int("priority", c.Priority)))
 }
 
+// shutdownRefused counts a request that was refused because the gateway stops.
+func (m *Metrics) shutdownRefused(place waitingPlace) {
+	if m == nil {
+		return
+	}
+	m.shutdownRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("waited_for", string(place))))
+}
+
 // interrupted counts a run that an upstream of the service did not complete.
 func (m *Metrics) interrupted(service string) {
 	if m == nil {
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -301,6 +301,22 @@
 	}
 }
 
+// refuseLeaving refuses the waiting requests that this instance can't complete before its
+// planned stop. The caller holds s.mu.
+func (s *scheduler) refuseLeaving(now time.Time) {
+	if !s.gateway.Shutdown.HasBegun() {
+		return
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waitingRequest) bool {
+		w.limitByShutdown(s.gateway.Shutdown)
+		late := w.leaving && !now.Before(w.refuseAt)
+		if late {
+			w.placed <- placement{err: s.refusalError(w, reasonDeadline, now)}
+		}
+		return late
+	})
+}
+
 // judgeService decides about the requests for the service of the call and returns those
 // to refuse. The caller holds s.mu.
 func (s *scheduler) judgeService(c *Call, now time.Time) (refused []*waitingRequest) {
@@ -359,6 +375,9 @@
 // refusalError counts and logs the refusal of a waiting request and returns the error for
 // its client. The caller holds s.mu.
 func (s *scheduler) refusalError(w *waitingRequest, reason string, now time.Time) *fault.Error {
+	if w.leaving && !now.Before(w.refuseAt) {
+		return s.gateway.refuseForShutdown(w.call, waitsForEngine, w.joined, now)
+	}
 	remaining := w.call.Remaining(now)
 	wait := w.verdict.QueueTime
 	if reason == reasonDeadline {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -59,6 +59,7 @@
 	if len(s.waiting) == 0 {
 		return 0
 	}
+	s.refuseLeaving(now)
 	s.orderWaiting(now)
 	s.refuseInfeasible(now)
 	contended := s.contended()
--- a/internal/gateway/plainqueue.go
+++ b/internal/gateway/plainqueue.go
@@ -68,11 +68,15 @@
 type plainCall struct {
 	call   *Call
 	joined time.Time
-	// refuseAt is the time at which an answer can't come in time any more.
+	// refuseAt is the time at which an answer can't come in time any more. leaving is set if
+	// that is because the service of this instance ends.
 	refuseAt time.Time
-	state    waitqueue.Request
-	verdict  overload.Verdict
-	judged   bool
+	leaving  bool
+	// latency is that of the upstreams when the call joined.
+	latency time.Duration
+	state   waitqueue.Request
+	verdict overload.Verdict
+	judged  bool
 	// overtakeWindow is overload.Request.OvertakeWindow.
 	overtakeWindow time.Duration
 	// done receives nil if the call may be sent, or its refusal.
@@ -203,6 +207,7 @@
 		return nil
 	}
 	w := newPlainCall(c, places, now)
+	w.limitByShutdown(q.gateway.Shutdown)
 	s.calls = append(s.calls, w)
 	q.waiting.Add(1)
 	q.rank(s, places, now)
@@ -224,7 +229,7 @@
 
 // newPlainCall returns the call as a waiting call, with the time at which it is refused.
 func newPlainCall(c *Call, places plainPlaces, now time.Time) *plainCall {
-	w := &plainCall{call: c, joined: now, done: make(chan *fault.Error, 1)}
+	w := &plainCall{call: c, joined: now, latency: places.latency, done: make(chan *fault.Error, 1)}
 	w.refuseAt = lastSend(c, places.latency)
 	return w
 }
@@ -294,6 +299,7 @@
 
 // updateState computes the sort key of a call. The caller holds q.mu.
 func (q *plainQueue) updateState(s *serviceQueue, w *plainCall, latency time.Duration, now time.Time) {
+	w.limitByShutdown(q.gateway.Shutdown)
 	target := w.call.Route.LatencyTarget
 	total := w.refuseAt.Sub(w.call.Received)
 	if target <= 0 || target > total {
@@ -422,6 +428,9 @@
 // refusal counts and logs the refusal of a call and returns the error for its client. The
 // caller holds q.mu.
 func (q *plainQueue) refusal(s *serviceQueue, w *plainCall, reason string, now time.Time) *fault.Error {
+	if w.leaving {
+		return q.gateway.refuseForShutdown(w.call, waitsForPlace, w.joined, now)
+	}
 	after := max(overloadRetryAfter(), overload.RetryAfter(w.verdict.QueueTime, w.call.Remaining(now), rand.Float64()))
 	s.classes.Refused(now.Sub(q.start), w.call.Priority, w.call.RetryAge > 0 || after >= w.call.Remaining(now))
 	q.gateway.Metrics.overloadRefused(w.call, reason)
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -42,8 +42,12 @@
 	// firstEventDeadline is the time at which the first event must reach the client
 	// to meet the latency target.
 	firstEventDeadline time.Time
-	// refuseAt is the time at which the request is refused.
+	// refuseAt is the time at which the request is refused. leaving is set if that is
+	// because the service of this instance ends.
 	refuseAt time.Time
+	leaving  bool
+	// outputTime is the expected time from the first event to the last.
+	outputTime time.Duration
 	// pin restricts the engines of the request to one software version.
 	pin versionPin
 	// promptReady means that the prompt has been processed already.
@@ -132,6 +136,13 @@
 		overload: newOverloadState(time.Now()), loggedSpeeds: make(map[string]ServiceSpeed)}
 }
 
+// waitingCount returns the number of waiting requests.
+func (s *scheduler) waitingCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.waiting))
+}
+
 // wakeUp starts the next round without waiting for schedulerInterval.
 func (s *scheduler) wakeUp() {
 	select {
@@ -342,7 +353,8 @@
 	w.firstEventDeadline = c.Received.Add(c.Route.LatencyTarget - c.RetryAge)
 	// Output that the deadline cuts off has no value, so the request must be placed
 	// early enough to finish.
-	w.refuseAt = c.Deadline.Add(-w.minDelay - outputTime(w.medianOutput, c.Service, speed))
+	w.outputTime = outputTime(w.medianOutput, c.Service, speed)
+	w.refuseAt = c.Deadline.Add(-w.minDelay - w.outputTime)
 	if silenceLimit := c.Route.ClientEventTimeout; silenceLimit > 0 {
 		if t := c.Received.Add(silenceLimit - w.minDelay - silenceMargin); t.Before(w.refuseAt) {
 			w.refuseAt = t
@@ -352,6 +364,7 @@
 	if c.Route.LatencyTarget <= 0 {
 		w.firstEventDeadline = w.refuseAt
 	}
+	w.limitByShutdown(s.gateway.Shutdown)
 	return w
 }
 
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -124,6 +124,9 @@
 // EndService ends the context of WhileServing for all calls.
 func (s *Shutdown) EndService() { s.end(ErrEnded) }
 
+// HasEnded reports whether the service has ended.
+func (s *Shutdown) HasEnded() bool { return s != nil && s.service.Err() != nil }
+
 // WhileServing returns a copy of the context that also ends when the service does; its cause
 // is ErrEnded then. The caller must call cancel.
 func (s *Shutdown) WhileServing(ctx context.Context) (_ context.Context, cancel func()) {
