Send no call whose answer can't be expected before the end of service

Cause: whether a call is taken was asked once, when its head arrived. A body may take 5 s after that, a queue longer.

Change: right before each attempt the gateway asks whether the answer can be expected before the end of service, and refuses with 503 if not; upstreams get no later deadline than that. A plain call whose time ends takes what its attempts say of themselves, so one that was not sent gets 503 and not 502.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,6 +60,9 @@
 	// RetryAge is the estimated time that the client spent on earlier attempts of
 	// the same request. It is 0 for a first attempt.
 	RetryAge time.Duration
+	// outputTime is the expected time from the first event of a model request to the last. It
+	// is set when the request waits for an engine.
+	outputTime time.Duration
 	// estimatedWork is what the account was charged for a plain call that has not ended, in
 	// seconds. The lock of the plain queue protects it.
 	estimatedWork float64
--- a/internal/gateway/model.go
+++ b/internal/gateway/model.go
@@ -195,7 +195,7 @@
 	m.outcome.attempts++
 	instance := u.Instance()
 	m.outcome.upstream = instance.ID
-	send := Attempt{Purpose: Execute, To: instance, Timeout: m.call.Remaining(began), Reservation: reservation.ID, ResumeAfter: m.call.ResumeAfter}
+	send := Attempt{Purpose: Execute, To: instance, Timeout: m.gateway.timeout(m.call, began), Reservation: reservation.ID, ResumeAfter: m.call.ResumeAfter}
 	if p != nil {
 		send.Source = &KVSource{Address: p.engine.Instance().Address, Handle: p.handle}
 	} else {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -142,9 +142,33 @@
 				p.startAttempt(ctx)
 			}
 		case <-ctx.Done():
+			return p.awaitEnded(fallback)
+		}
+	}
+}
+
+// endedAttemptWait is how long the results of attempts are waited for after their context has
+// ended, which ends them at once. It is a part of responseMargin.
+const endedAttemptWait = responseMargin / 3
+
+// awaitEnded returns the result to forward after the context has ended. The attempts in
+// progress tell whether an upstream may have run the call: one that was not sent has not.
+func (p *plainExchange) awaitEnded(fallback *attemptResult) *attemptResult {
+	limit := time.NewTimer(endedAttemptWait)
+	defer limit.Stop()
+	for p.active > 0 {
+		select {
+		case r := <-p.results:
+			p.active--
+			p.recordResult(r)
+			if fallback == nil || !fallback.answered() {
+				fallback = r
+			}
+		case <-limit.C:
 			return fallback
 		}
 	}
+	return fallback
 }
 
 // retry starts another attempt after a result that cannot be forwarded, if the
@@ -183,6 +207,9 @@
 
 // startAttempt sends the call to the best upstream that has not been tried yet.
 func (p *plainExchange) startAttempt(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false // an attempt that fails at once would count as one that may have run
+	}
 	choice := p.gateway.choosePlain(p.call.Service.Name, p.tried, versionPin{})
 	p.limitWait = choice.wait
 	u := choice.upstream
@@ -327,7 +354,7 @@
 	if c.Route.Repeatable() {
 		maxIdle = repeatableMaxIdle
 	}
-	r := g.send(ctx, c, u, Attempt{Purpose: Execute, To: u.Instance(), Timeout: c.Remaining(began), ResumeAfter: c.ResumeAfter}, maxIdle)
+	r := g.send(ctx, c, u, Attempt{Purpose: Execute, To: u.Instance(), Timeout: g.timeout(c, began), ResumeAfter: c.ResumeAfter}, maxIdle)
 	if r.answered() {
 		r.body, r.whole, r.err = memory.read(r.resp)
 		if r.err == nil && r.whole {
--- a/internal/gateway/plainstream.go
+++ b/internal/gateway/plainstream.go
@@ -61,7 +61,7 @@
 	began := time.Now()
 	runCtx, cancelRun := context.WithCancel(ctx)
 	defer cancelRun()
-	r = g.send(runCtx, c, u, Attempt{Purpose: Execute, To: u.Instance(), Timeout: c.Remaining(began), ResumeAfter: c.ResumeAfter}, nonRepeatableMaxIdle)
+	r = g.send(runCtx, c, u, Attempt{Purpose: Execute, To: u.Instance(), Timeout: g.timeout(c, began), ResumeAfter: c.ResumeAfter}, nonRepeatableMaxIdle)
 	r.duration = time.Since(began)
 	g.recordHealth(ctx, c, u, r)
 	if !r.mayHaveRun {
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -70,7 +70,7 @@
 	backlog := m.gateway.scheduler.load.prefillState(u, began)
 	pending := u.PrefillTokens.Load() + backlog.peerTokens
 	idle := pending == placed.promptTokens
-	r := m.gateway.send(ctx, m.call, u, Attempt{Purpose: Prefill, To: instance, Timeout: m.call.Remaining(began)}, engineMaxIdle)
+	r := m.gateway.send(ctx, m.call, u, Attempt{Purpose: Prefill, To: instance, Timeout: m.gateway.timeout(m.call, began)}, engineMaxIdle)
 	r.duration = time.Since(began)
 	if errors.Is(r.err, errNotAdmitted) {
 		m.prefills--
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -238,6 +238,7 @@
 func (s *scheduler) reserve(ctx context.Context, m *modelExchange) (placement, error) {
 	now := time.Now()
 	w := s.newWaitingRequest(m.call, m.hasUnused(now), m.placementPin(now))
+	m.call.outputTime = w.outputTime
 	w.joined = now
 	w.rank.begun = w.promptReady || m.relay != nil || w.call.ResumeAfter != ""
 	if !now.Before(w.refuseAt) {
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fescueslip/fescueslip/internal/fault"
+	"github.com/fescueslip/fescueslip/internal/fleet"
 	"github.com/fescueslip/fescueslip/internal/shutdown"
 )
 
@@ -22,6 +23,9 @@
 	waitsForEngine waitingPlace = "engine"
 	// waitsForPlace marks a call to a plain service whose upstreams are full.
 	waitsForPlace waitingPlace = "plain_queue"
+	// waitsForUpstream marks a call that was not sent because its answer could not be
+	// expected before the end of service.
+	waitsForUpstream waitingPlace = "upstream"
 	// waitsForService marks a call that no upstream had accepted at the end of service.
 	waitsForService waitingPlace = "end_of_service"
 )
@@ -48,6 +52,31 @@
 	return g.refuseForShutdown(c, waitsForService, c.Received, time.Now()).WithCause(err)
 }
 
+// checkServiceTime returns an error if the call must not be sent to the upstream now, because
+// its answer can't be expected before the end of service. That holds for calls that may be
+// repeated too: being refused costs the client an attempt, and so does being broken off, but
+// the latter also costs the upstream its work.
+func (g *Gateway) checkServiceTime(c *Call, u *fleet.Upstream, now time.Time) *fault.Error {
+	end, begun := g.Shutdown.EndOfService()
+	if !begun {
+		return nil
+	}
+	needed := c.outputTime
+	if !c.usesModelEngines() {
+		needed = c.expectedAnswerTime(time.Duration(u.Health(now).LatencyMs * float64(time.Millisecond)))
+	}
+	if now.Add(needed).Before(end) {
+		return nil
+	}
+	return g.refuseForShutdown(c, waitsForUpstream, c.Received, now)
+}
+
+// timeout returns the time that an upstream may spend on the call.
+func (g *Gateway) timeout(c *Call, now time.Time) time.Duration {
+	end, _ := g.Shutdown.Earliest(c.Deadline)
+	return end.Sub(now)
+}
+
 // WaitingCalls counts the calls that wait in the queues of a gateway.
 type WaitingCalls struct {
 	// Model requests wait for a reservation, and Plain calls for a free place.
