--- a/internal/app/clientserver.go
+++ b/internal/app/clientserver.go
@@ -47,10 +47,13 @@
 	return s
 }
 
-// setLimits applies the limits to new connections.
+// setLimits applies the limits to new connections, unless the port is closed.
 func (s *clientServer) setLimits(limits routing.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed.Load() {
+		return // nothing would ever close another server
+	}
 	if old := s.current.Load(); old != nil && old.limits == limits {
 		return
 	}
