Take no answer for whole whose upload was reset

What callers would see: a server answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection.

Cause: the kernel reports a reset once. A body of over 32 KB is sent in a goroutine while the response is read; if the sender gets the reset, the reader sees an orderly end of file, which is the end of a body without length and chunks. Its result was looked at for the reuse of the connection only, and confirmEnd finds the same process alive.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -151,7 +151,7 @@
 		return nil, errors.Wrap(err, "read response")
 	}
 	framing := framingOf(resp, r.Method)
-	body := &Body{conn: c, reader: resp.Body, written: written}
+	body := &Body{conn: c, reader: resp.Body, written: written, framing: framing}
 	body.reusable = !resp.Close && framing != CloseDelimited
 	body.keepAlive = keepAlive(resp.Header)
 	out := &Response{
@@ -244,6 +244,7 @@
 	conn      *conn
 	reader    io.ReadCloser
 	written   chan error
+	framing   Framing
 	reusable  bool
 	keepAlive time.Duration
 	done      bool
@@ -255,10 +256,35 @@
 		return 0, io.EOF
 	}
 	n, err := b.reader.Read(p)
-	if err == io.EOF {
-		b.complete()
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if b.framing == CloseDelimited {
+		if sendErr := b.endSending(); sendErr != nil {
+			_ = b.Close()
+			return n, errors.Wrap(errNotWhole, sendErr.Error())
+		}
+		b.written <- nil
+	}
+	b.complete()
+	return n, io.EOF
+}
+
+// errNotWhole is the error of a response that ended with its connection before the request
+// had been sent to its end. The kernel reports a reset of the connection only once: if the
+// sender of the request gets it, the reader of the response sees an orderly end.
+var errNotWhole = errors.New("the response ended with its connection while the request was still being sent")
+
+// endSending stops sending the request and returns the error with which that ended, or nil
+// if all of it was sent.
+func (b *Body) endSending() error {
+	select {
+	case err := <-b.written:
+		return err
+	default:
+	}
+	_ = b.conn.SetWriteDeadline(time.Now()) // the send that it unblocks reports the error
+	return <-b.written
 }
 
 // complete releases the connection after the whole body has been read.
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +21,8 @@
 	buf           []byte
 	blackholed    bool
 	closed        bool
+	readerReset   *resetNotice
+	writerReset   *resetNotice
 	readDeadline  deadline
 	writeDeadline deadline
 }
@@ -29,8 +33,20 @@
 	expired bool
 }
 
-func newPipe() *pipe {
-	p := &pipe{}
+// resetNotice tells one end of a connection that the other end has reset it. Like a kernel,
+// it does so once: either to a read or to a write.
+type resetNotice struct{ pending atomic.Bool }
+
+// take returns the error of a connection that was reset, once, and otherwise err.
+func (r *resetNotice) take(err error) error {
+	if r.pending.CompareAndSwap(true, false) {
+		return syscall.ECONNRESET
+	}
+	return err
+}
+
+func newPipe(reader, writer *resetNotice) *pipe {
+	p := &pipe{readerReset: reader, writerReset: writer}
 	p.cond = sync.NewCond(&p.mu)
 	return p
 }
@@ -48,7 +64,7 @@
 			p.cond.Broadcast()
 			return n, nil
 		case p.closed:
-			return 0, io.EOF
+			return 0, p.readerReset.take(io.EOF)
 		}
 		p.cond.Wait()
 	}
@@ -61,7 +77,7 @@
 	for len(b) > 0 {
 		switch {
 		case p.closed:
-			return written, io.ErrClosedPipe
+			return written, p.writerReset.take(io.ErrClosedPipe)
 		case p.writeDeadline.expired:
 			return written, os.ErrDeadlineExceeded
 		case p.blackholed:
@@ -118,14 +134,18 @@
 }
 
 type conn struct {
-	in, out       *pipe
+	in, out *pipe
+	// peerReset tells the other end of a reset.
+	peerReset     *resetNotice
+	abortive      atomic.Bool
 	local, remote address
 }
 
 func newPair(addr string) (client, server *conn) {
-	a, b := newPipe(), newPipe()
-	client = &conn{in: a, out: b, local: "client", remote: address(addr)}
-	server = &conn{in: b, out: a, local: address(addr), remote: "client"}
+	toClient, toServer := new(resetNotice), new(resetNotice)
+	a, b := newPipe(toClient, toServer), newPipe(toServer, toClient)
+	client = &conn{in: a, out: b, peerReset: toServer, local: "client", remote: address(addr)}
+	server = &conn{in: b, out: a, peerReset: toClient, local: address(addr), remote: "client"}
 	return client, server
 }
 
@@ -146,13 +166,23 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) { return c.out.write(b) }
 
-// Close implements net.Conn. The other end reads the buffered data and then EOF.
+// SetLinger makes Close reset the connection if seconds is 0, like that of a net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.abortive.Store(seconds == 0)
+	return nil
+}
+
+// Close implements net.Conn. The other end reads the buffered data and then EOF, or one
+// error in its place if the connection is reset.
 // On a blackholed connection, the other end is not notified.
 func (c *conn) Close() error {
 	c.out.mu.Lock()
-	blackholed := c.out.blackholed
+	blackholed, closed := c.out.blackholed, c.out.closed
 	c.out.mu.Unlock()
 	if !blackholed {
+		if c.abortive.Load() && !closed {
+			c.peerReset.pending.Store(true)
+		}
 		c.out.close()
 	}
 	c.in.close()
