Let the sidecar take no response for whole whose upload was reset

Cause: the transport of net/http ends such a body at the reader's end of file and does not ask its sender, which got the reset.

Change: connections to the service remember whether a write failed, and the end of a response without length and chunks counts only if the request was sent.

--- a/internal/plain/sidecar.go
+++ b/internal/plain/sidecar.go
@@ -107,7 +107,11 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
-			return dial(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &serviceConn{Conn: c}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConns:        connections,
@@ -210,20 +214,18 @@
 	}
 	ctx, idle := withIdleTimeout(ctx, callTimeout(r.Header))
 	defer idle.stop()
-	var sent atomic.Bool
-	out := s.serviceRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { sent.Store(true) },
-	}), r)
+	sending := new(upload)
+	out := s.serviceRequest(httptrace.WithClientTrace(ctx, sending.trace()), r)
 	resp, err := s.transport.RoundTrip(out)
-	if sent.Load() {
+	if sending.begun.Load() {
 		s.counters.submitted.Add(1)
 	}
 	if err != nil {
-		s.handleSubmitError(w, ctx, err, sent.Load())
+		s.handleSubmitError(w, ctx, err, sending.begun.Load())
 		return
 	}
 	resp.Body = idle.wrapBody(resp.Body)
-	s.writeServiceResponse(ctx, w, resp)
+	s.writeServiceResponse(ctx, w, resp, sending)
 }
 
 // handleSubmitError tells the entry that the service gave no response, and whether
@@ -252,7 +254,7 @@
 	return net.JoinHostPort(target.Hostname(), "80")
 }
 
-func (s *Sidecar) writeServiceResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response) {
+func (s *Sidecar) writeServiceResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, sending *upload) {
 	defer func() { _ = resp.Body.Close() }()
 	announced := copyResponseHeaders(w.Header(), resp)
 	w.Header().Set(headerVerdict, string(verdictAnswered))
@@ -262,7 +264,7 @@
 	w.WriteHeader(resp.StatusCode)
 	err := copyBody(w, resp, nil)
 	if err == nil {
-		err = s.confirmEnd(ctx, resp)
+		err = s.confirmEnd(ctx, resp, sending)
 	}
 	if err != nil {
 		s.counters.truncated.Add(1)
@@ -276,11 +278,15 @@
 
 // confirmEnd returns an error if the end of a response, whose connection ended in order,
 // may be that of a crashed service. A response without a length and chunks also ends in
-// order if the service's process ends, so the service must still accept connections.
-func (s *Sidecar) confirmEnd(ctx context.Context, resp *http.Response) error {
+// order if the service's process ends, so the service must still accept connections. It seems
+// to end in order if its connection was reset while the request was being sent.
+func (s *Sidecar) confirmEnd(ctx context.Context, resp *http.Response, sending *upload) error {
 	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead {
 		return nil
 	}
+	if err := sending.end(); err != nil {
+		return err
+	}
 	conn, err := s.transport.DialContext(ctx, "tcp", dialAddress(s.target))
 	if err != nil {
 		return errors.Wrap(err, "the response ended with its connection, and the service no longer accepts connections")
