Take no head for an answer that no server can have meant as one

Cause: http.ReadResponse accepts any three digits, and each status under 200 counted as an interim response, which has no body: the body was read as the next head.

Change: a head is checked before anything is made of it. One that is neither an answer's nor an interim response's ends the exchange as one whose request may have run.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -207,7 +207,10 @@
 			return nil, err
 		}
 		c.source.endHead()
-		if resp.StatusCode < http.StatusOK {
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
+		if isInterimStatus(resp.StatusCode) {
 			if interim++; interim > maxInterimResponses {
 				return nil, errors.New("too many interim responses")
 			}
