Let the sidecar pass on no status that no service can have meant

What callers would see: for a service's status 000 to 099 the sidecar panicked and cut the entry off; 101 and 600 to 999 were passed on as answers (MIXED).

Cause: the status of a response went to WriteHeader unchecked.

Change: such a response counts as none; the entry learns that the outcome is unknown, as after a broken connection.

Result: TestServiceStatusThatIsNone failed for each of 5 statuses and passes.

--- a/internal/plain/sidecar.go
+++ b/internal/plain/sidecar.go
@@ -14,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/fescueslip/fescueslip/internal/config"
+	"github.com/fescueslip/fescueslip/internal/exchange"
 	"github.com/fescueslip/fescueslip/internal/wire"
 	"github.com/go-faster/errors"
 )
@@ -220,6 +221,10 @@
 	if sending.begun.Load() {
 		s.counters.submitted.Add(1)
 	}
+	if err == nil && !exchange.IsFinalStatus(resp.StatusCode) {
+		_ = resp.Body.Close() // the connection is not reused, since its body was not read
+		err = errors.Errorf("the service sent a head with status %03d, which is not that of an answer", resp.StatusCode)
+	}
 	if err != nil {
 		s.handleSubmitError(w, ctx, err, sending.begun.Load())
 		return
