--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/exchange"
 )
 
 const (
@@ -75,13 +77,18 @@
 }
 
 func newHTTPClient(dial DialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:            dial,
+			MaxIdleConns:           maxIdleConns,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
+		},
+		// An engine answers itself; another address is never asked in its place.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // Close closes the idle connections.
--- a/internal/exchange/headlimit.go
+++ b/internal/exchange/headlimit.go
@@ -6,12 +6,12 @@
 	"github.com/go-faster/errors"
 )
 
-// maxHeadBytes limits the head of one response. Interim responses and responses to
+// MaxHeadBytes limits the head of one response. Interim responses and responses to
 // earlier requests, whose number is limited too, have heads of their own.
-const maxHeadBytes = 64 << 10
+const MaxHeadBytes = 64 << 10
 
 // errHeadTooLong is the cause of an Error when an upstream sends a response whose head
-// does not end within maxHeadBytes.
+// does not end within MaxHeadBytes.
 var errHeadTooLong = errors.New("head of the response is too long")
 
 // headLimiter limits the bytes that are read while the head of a response is expected.
@@ -38,7 +38,7 @@
 }
 
 // beginHead limits the bytes that are read until endHead is called.
-func (l *headLimiter) beginHead() { l.limited, l.remaining = true, maxHeadBytes }
+func (l *headLimiter) beginHead() { l.limited, l.remaining = true, MaxHeadBytes }
 
 // endHead ends the limit. Bytes of the body are limited by their reader.
 func (l *headLimiter) endHead() { l.limited = false }
--- a/internal/kvservice/http.go
+++ b/internal/kvservice/http.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fescueslip/fescueslip/internal/exchange"
 )
 
 // CallError describes a failed call. It matches ErrUnavailable if it is unknown whether
@@ -66,6 +68,8 @@
 			DialContext:         dial,
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: maxIdleConns,
+			// Responses have few headers; a longer head is that of no KV service.
+			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/plain/sidecar.go
+++ b/internal/plain/sidecar.go
@@ -114,10 +114,11 @@
 			}
 			return &serviceConn{Conn: c}, nil
 		},
-		DisableCompression:  true,
-		MaxIdleConns:        connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     serviceIdleTimeout,
+		DisableCompression:     true,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        serviceIdleTimeout,
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 }
 
