Adopt no levels before the quotas are known

Cause: a gateway that started while the store was away heard the others 1 ms before it got its configuration from one of them. The resources of their reports had no limit yet, so their counters were noted and their levels not adopted, and the next full report raised the used-up bucket by a full one. The hypothesis of one more exposure for each restart is refuted by the trace.

Change: before the capacities are known, a pool takes nothing on resources from reports.

--- a/internal/lending/pool.go
+++ b/internal/lending/pool.go
@@ -97,9 +97,11 @@
 
 	mu         sync.Mutex
 	capacityOf func(ID) (Capacity, bool)
-	start, now time.Duration
-	holders    int
-	peers      map[string]*peer
+	// capacitiesKnown is set once SetCapacities was called.
+	capacitiesKnown bool
+	start, now      time.Duration
+	holders         int
+	peers           map[string]*peer
 	// heard is the set of this holder and of the peers that are heard, and heardPeers the number
 	// of these peers.
 	heard      HolderSet
@@ -227,7 +229,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advance(now)
-	p.capacityOf = capacityOf
+	p.capacityOf, p.capacitiesKnown = capacityOf, true
 	for id, r := range p.resources {
 		p.refill(r)
 		c, limited := capacityOf(id)
--- a/internal/lending/pool_test.go
+++ b/internal/lending/pool_test.go
@@ -335,6 +335,33 @@
 	}
 }
 
+// Guards against a new process that hears the others before it knows the capacities, and then
+// takes a bucket that they have used up for a full one.
+func TestReportsBeforeCapacities(t *testing.T) {
+	const used, spent = -400.0, 5000.0
+	partial := Report{Incarnation: 2, Settled: true, Partial: true, Entries: entry(1, spent, used)}
+	full := Report{Incarnation: 2, Settled: true, Filled: maxFilled, Entries: entry(1, spent, used)}
+	for name, before := range map[string][]Report{"a partial report": {partial}, "a full report": {full}, "both": {partial, full}} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			p := New(testTerms, 1, now)
+			p.SetHolders(2, now)
+			for _, r := range before {
+				p.Receive("b", r, now)
+			}
+			now += time.Millisecond
+			setCapacity(p, testCapacity, now)
+			if d := p.Take(account, 100, now); d.Granted {
+				t.Error("granted before the level is known")
+			}
+			p.Receive("b", full, now)
+			wantLevel(t, p, used, now)
+			p.Receive("b", full, now)
+			wantLevel(t, p, used, now)
+		})
+	}
+}
+
 // Guards against a second burst when all processes restart at the same time: the burst may
 // have been used right before.
 func TestRestartOfAll(t *testing.T) {
--- a/internal/lending/report.go
+++ b/internal/lending/report.go
@@ -124,6 +124,16 @@
 	}
 	p.confirm()
 	p.nextExpiry = min(p.nextExpiry, p.now+p.terms.Loan)
+	if p.capacitiesKnown {
+		p.receiveEntries(other, report)
+	}
+	p.settled = p.settled || p.heardAll()
+}
+
+// receiveEntries applies what a report says about resources. Before the capacities are known,
+// no level can be adopted, and a resource that the report names would later count as one that
+// it does not name, which is full.
+func (p *Pool) receiveEntries(other *peer, report Report) {
 	for _, e := range report.Entries {
 		p.receiveEntry(other, e)
 	}
@@ -132,7 +142,6 @@
 		other.adopting, other.reservedBefore = false, other.reserved
 		other.dropUnnamed(report.Entries)
 	}
-	p.settled = p.settled || p.heardAll()
 }
 
 // reserve adds the part of a holder that does not lend to what is reserved for it.
