Tell the other gateways that the limit of an upstream has ended

Cause: limits are told by gossip, their ends are not. A gateway that has sent an upstream nothing since keeps the limit until its own part of it allows a request, a minute or more with a low one.

It counts only if it is a second or more after the last mention that the receiver knows of, as its own answers do.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -64,6 +64,26 @@
 	return changed
 }
 
+// RecordReportedLimitEnd records that an answer to another process at the given time named no
+// limit any more. It reports whether a limit was in force.
+func (u *Upstream) RecordReportedLimitEnd(endedAt time.Time) (changed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit.namedAt.IsZero() || endedAt.Sub(u.limit.namedAt) < limitReleaseDelay {
+		return false
+	}
+	u.limit = namedLimit{endedAt: endedAt}
+	return true
+}
+
+// LimitEnd returns the time of the answer that ended the last limit, and whether there was
+// one and none is in force.
+func (u *Upstream) LimitEnd() (endedAt time.Time, ended bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limit.endedAt, u.limit.namedAt.IsZero() && !u.limit.endedAt.IsZero()
+}
+
 // RecordInvalidLimit records that the upstream named a limit that cannot be read. It
 // reports whether this is the first since the limit in force changed.
 func (u *Upstream) RecordInvalidLimit() (first bool) {
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -47,3 +47,27 @@
 		t.Errorf("the wait is %v after a report, and was %v", after, before)
 	}
 }
+
+// Guards against a limit that a process keeps although others know that it has ended, and
+// against an end that is older than its last mention.
+func TestReportedLimitEnd(t *testing.T) {
+	var u Upstream
+	now := time.Unix(1000, 0)
+	if u.RecordReportedLimitEnd(now) {
+		t.Error("the end of no limit is a change")
+	}
+	u.RecordLimit(0.1, true, now)
+	if u.RecordReportedLimitEnd(now.Add(limitReleaseDelay / 2)) {
+		t.Error("the limit ended with an answer that may be older")
+	}
+	ended := now.Add(limitReleaseDelay)
+	if !u.RecordReportedLimitEnd(ended) || !u.TakeLimit(1, 4, ended) || !u.TakeLimit(1, 4, ended) {
+		t.Error("the limit is still in force")
+	}
+	if at, ok := u.LimitEnd(); !ok || !at.Equal(ended) {
+		t.Errorf("end of the limit: %v, %t; want %v", at, ok, ended)
+	}
+	if u.RecordReportedLimit(0.1, ended.Add(-time.Millisecond)) {
+		t.Error("an old report brought the limit back")
+	}
+}
--- a/internal/gateway/loadtable.go
+++ b/internal/gateway/loadtable.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -92,16 +93,21 @@
 	profile.DeviationReport
 }
 
-// LimitReport is a limit that an upstream named on the requests of all gateways.
+// LimitReport is a limit that an upstream named on the requests of all gateways, or the end
+// of one.
 type LimitReport struct {
 	ID          string
 	Incarnation int64
-	// PerSecond is the limit in requests a second.
+	// PerSecond is the limit in requests a second. It is infinite if the limit has ended.
 	PerSecond float64
-	// NamedAt is the time at which the upstream named it last.
+	// NamedAt is the time of the last answer that named the limit, or of the one that ended
+	// it.
 	NamedAt time.Time
 }
 
+// ended reports whether the limit has ended.
+func (r LimitReport) ended() bool { return math.IsInf(r.PerSecond, 1) }
+
 // localRequest is a request that this gateway placed on a decode engine.
 type localRequest struct {
 	load RequestLoad
--- a/internal/gateway/peerstate.go
+++ b/internal/gateway/peerstate.go
@@ -35,7 +35,7 @@
 		QueueHead:     head,
 		Engines:       g.scheduler.load.localState(g.Fleet.Snapshot(), onlyChanged, now),
 		CrashNotices:  g.crashDetector.watchlist.DueNotices(now),
-		Limits:        g.limitReports(),
+		Limits:        g.limitReports(now),
 		Leaving:       g.leavingReports(),
 		Origins:       g.origins.report(onlyChanged, now),
 		StoreContact:  g.StoreContact(now),
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -20,25 +20,39 @@
 	limitedShare = 0.5
 )
 
-// limitReports returns the limits in force, for the other gateways.
-func (g *Gateway) limitReports() []LimitReport {
+// limitEndReportTime is for how long the other gateways are told that a limit has ended. One
+// that has sent the upstream nothing since would keep it.
+const limitEndReportTime = 10 * time.Second
+
+// limitReports returns the limits in force and those that ended lately, for the other
+// gateways.
+func (g *Gateway) limitReports(now time.Time) []LimitReport {
 	var reports []LimitReport
 	g.Fleet.Snapshot().Each(func(u *fleet.Upstream) {
+		instance := u.Instance()
 		if perSecond, namedAt, limited := u.Limit(); limited {
-			instance := u.Instance()
 			reports = append(reports, LimitReport{ID: instance.ID, Incarnation: instance.Incarnation, PerSecond: perSecond, NamedAt: namedAt})
+		} else if endedAt, ended := u.LimitEnd(); ended && now.Sub(endedAt) < limitEndReportTime {
+			reports = append(reports, LimitReport{ID: instance.ID, Incarnation: instance.Incarnation, PerSecond: math.Inf(1), NamedAt: endedAt})
 		}
 	})
 	return reports
 }
 
-// applyLimitReports puts limits in force that upstreams named to another gateway.
+// applyLimitReports puts limits in force that upstreams named to another gateway, and ends
+// those that it saw end.
 func (g *Gateway) applyLimitReports(reports []LimitReport) {
 	for _, r := range reports {
 		u := g.Fleet.Snapshot().Find(r.ID, r.Incarnation)
 		if u == nil || math.IsNaN(r.PerSecond) || r.PerSecond < 0 {
 			continue
 		}
+		if r.ended() {
+			if u.RecordReportedLimitEnd(r.NamedAt) {
+				g.Logger.Info("upstream names no limit any more to another gateway", "upstream", r.ID)
+			}
+			continue
+		}
 		if u.RecordReportedLimit(r.PerSecond, r.NamedAt) {
 			g.Logger.Info("upstream named a limit to another gateway", "upstream", r.ID, "requests_per_s", r.PerSecond)
 		}
