--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,10 +1,3 @@
-// Package gateway serves client requests and sends them directly to their upstreams,
-// without sidecars: model engines that reserve their own memory need no process
-// beside them.
-//
-// The gateway matches the route of a request, admits or refuses the request, selects
-// an upstream, and relays the response. Implementations of Protocol and EngineClient
-// define the format of the messages on the wire.
 package gateway
 
 import (
