Model resets of unread connections in memnet

Change: a connection that is closed with unread data, or was not accepted before its listener was closed, is reset, as by a kernel; the report of the demo names the error of a call that was cut off.

--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -97,7 +97,7 @@
 // established.
 func (r *Report) checkConnectionLost(p plainResult) {
 	if p.err != nil && p.connected {
-		r.Unanswered = append(r.Unanswered, unansweredRequest{entry: p.entry, kind: "plain call cut off", start: p.start, end: p.start.Add(p.elapsed)})
+		r.Unanswered = append(r.Unanswered, unansweredRequest{entry: p.entry, kind: "plain call cut off: " + p.err.Error(), start: p.start, end: p.start.Add(p.elapsed)})
 	}
 }
 
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -94,6 +94,13 @@
 	return written, nil
 }
 
+// hasUnread reports whether data has arrived that was not read.
+func (p *pipe) hasUnread() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.buf) > 0
+}
+
 func (p *pipe) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -173,14 +180,15 @@
 }
 
 // Close implements net.Conn. The other end reads the buffered data and then EOF, or one
-// error in its place if the connection is reset.
+// error in its place if the connection is reset. Like a kernel, it resets a connection with
+// data that was not read.
 // On a blackholed connection, the other end is not notified.
 func (c *conn) Close() error {
 	c.out.mu.Lock()
 	blackholed, closed := c.out.blackholed, c.out.closed
 	c.out.mu.Unlock()
 	if !blackholed {
-		if c.abortive.Load() && !closed {
+		if !closed && (c.abortive.Load() || c.in.hasUnread()) {
 			c.peerReset.pending.Store(true)
 		}
 		c.out.close()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -160,10 +160,24 @@
 		l.network.mu.Lock()
 		delete(l.network.listeners, l.addr)
 		l.network.mu.Unlock()
+		l.resetPending()
 	})
 	return nil
 }
 
+// resetPending resets the connections that were not accepted.
+func (l *listener) resetPending() {
+	for {
+		select {
+		case c := <-l.accept:
+			_ = c.(*conn).SetLinger(0)
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return address(l.addr) }
 
