Demand time only for the output that is left of a stream

Cause: a request had to be placed in time for its whole expected output, also one whose client has most of it.

Change: the expected output less the events that the client has, for the time of the placement, the choice of the engine and the forecast.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -348,7 +348,7 @@
 // workOf returns what a request needs of engines of the given speed.
 func workOf(w *waitingRequest, speed profile.Speed) overload.Work {
 	prompt := float64(w.call.Model.PromptTokens)
-	seconds := outputTime(w.medianOutput, w.call.Service, speed).Seconds()
+	seconds := outputTime(w.outputLeft, w.call.Service, speed).Seconds()
 	work := overload.Work{PromptTokens: prompt, MemorySeconds: (prompt + w.medianOutput/2) * seconds, SlotSeconds: seconds}
 	if w.promptReady {
 		work.PromptTokens = 0
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -251,7 +251,7 @@
 		s.trace.decode(u, &load)
 		candidate := enginechoice.Decode{
 			FirstEvent: s.promptTime(w, u, choice, now) + load.speed.firstEvent + clientLatency,
-			Output:     time.Duration(w.medianOutput / load.speed.tokenRate * float64(time.Second)),
+			Output:     time.Duration(w.outputLeft / load.speed.tokenRate * float64(time.Second)),
 			Penalty:    s.decodePenalty(u, prefill, h),
 		}
 		if s.trace == nil {
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 type waitingRequest struct {
 	call         *Call
 	medianOutput float64
+	// outputLeft is the part of it that the client does not have yet.
+	outputLeft float64
 	// firstEventDeadline is the time at which the first event must reach the client
 	// to meet the latency target.
 	firstEventDeadline time.Time
@@ -354,7 +357,8 @@
 	w.firstEventDeadline = c.Received.Add(c.Route.LatencyTarget - c.RetryAge)
 	// Output that the deadline cuts off has no value, so the request must be placed
 	// early enough to finish.
-	w.outputTime = outputTime(w.medianOutput, c.Service, speed)
+	w.outputLeft = outputLeft(c, w.medianOutput)
+	w.outputTime = outputTime(w.outputLeft, c.Service, speed)
 	w.refuseAt = c.Deadline.Add(-w.minDelay - w.outputTime)
 	if silenceLimit := c.Route.ClientEventTimeout; silenceLimit > 0 {
 		if t := c.Received.Add(silenceLimit - w.minDelay - silenceMargin); t.Before(w.refuseAt) {
@@ -369,6 +373,17 @@
 	return w
 }
 
+// outputLeft returns the part of an output, in tokens, that the client of a stream that is
+// taken up, or goes on at another engine, does not have yet. Events are numbered from 1. A
+// stream whose last event has another ID may have all of its output to come.
+func outputLeft(c *Call, output float64) float64 {
+	events, err := strconv.ParseUint(c.ResumeAfter, 10, 32)
+	if err != nil {
+		return output
+	}
+	return max(0, output-float64(events)*float64(c.Service.Engine.TokensPerEvent))
+}
+
 // silenceMargin is how long before the client gives up a request is refused, so that
 // the refusal reaches the client.
 const silenceMargin = 150 * time.Millisecond
