Derive the contexts of calls from that of the service

Change: the client port's server derives its contexts from the service's (http.Server.BaseContext), so calls end with it at no cost of their own.

--- a/internal/app/clientserver.go
+++ b/internal/app/clientserver.go
@@ -60,6 +60,7 @@
 	next := &limitedServer{
 		Server: &http.Server{
 			Handler:           reqhead.Handler(s.gateway),
+			BaseContext:       func(net.Listener) context.Context { return s.gateway.Shutdown.Service() },
 			ConnContext:       reqhead.ConnContext,
 			ConnState:         reqhead.ConnState,
 			ReadHeaderTimeout: limits.HeaderTimeout,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,8 @@
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. The context of the request must be derived from
+// Shutdown.Service, so that the call ends with the service.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
 	g.inFlight.Add(1)
@@ -131,8 +132,6 @@
 	defer g.releaseBody(int64(len(call.Body)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), call.Deadline.Add(-responseMargin), errDeadlineExceeded)
 	defer cancel()
-	ctx, endService := g.Shutdown.WhileServing(ctx)
-	defer endService()
 	var res outcome
 	refusal := g.checkSuspended(call)
 	if refusal == nil {
@@ -294,7 +293,7 @@
 	if res.err != nil && res.err.Outcome == fault.NotRun {
 		g.returnQuota(c)
 	}
-	if res.err != nil && r.Context().Err() != nil {
+	if res.err != nil && r.Context().Err() != nil && !g.Shutdown.HasEnded() {
 		res.err = res.err.WithCause(errors.Wrap(errClientDisconnected, causeText(res.err)))
 	}
 	if res.err != nil {
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -121,22 +121,15 @@
 	return t, false
 }
 
-// EndService ends the context of WhileServing for all calls.
+// EndService ends the context of all calls; see Service.
 func (s *Shutdown) EndService() { s.end(ErrEnded) }
 
 // HasEnded reports whether the service has ended.
 func (s *Shutdown) HasEnded() bool { return s != nil && s.service.Err() != nil }
 
-// WhileServing returns a copy of the context that also ends when the service does; its cause
-// is ErrEnded then. The caller must call cancel.
-func (s *Shutdown) WhileServing(ctx context.Context) (_ context.Context, cancel func()) {
-	ctx, end := context.WithCancelCause(ctx)
-	stop := s.OnEnd(func() { end(ErrEnded) })
-	return ctx, func() {
-		stop()
-		end(nil)
-	}
-}
+// Service returns the context that the contexts of all calls are derived from. It ends with the
+// service, and its cause is ErrEnded then.
+func (s *Shutdown) Service() context.Context { return s.service }
 
 // OnEnd calls f in a goroutine of its own when the service ends, unless stop is called before.
 func (s *Shutdown) OnEnd(f func()) (stop func() bool) { return context.AfterFunc(s.service, f) }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -46,7 +46,7 @@
 func TestStopTakesItsCourse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New()
-		ctx, cancel := s.WhileServing(context.Background())
+		ctx, cancel := context.WithCancel(s.Service())
 		defer cancel()
 		if s.HasBegun() || s.RefusesCalls(time.Now()) {
 			t.Error("a stop that has not begun refuses calls")
