Read the time of a refusal before a request waits

A torn read would have ended the wait at a wrong time.

Change: the time is read before the request joins the queue; the tests use atomic counters.

--- a/internal/exchange/cuthead_test.go
+++ b/internal/exchange/cuthead_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -69,12 +70,12 @@
 		for _, kept := range []int{0, 1} {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, kept %d, reset %t", framing, kept, reset), func(t *testing.T) {
-					cut := 0
-					address := cutter(t, kept, func() (string, bool) { return answer[:cut], reset })
+					var cut atomic.Int64
+					address := cutter(t, kept, func() (string, bool) { return answer[:cut.Load()], reset })
 					p := NewPool(nil)
 					defer p.CloseIdle("")
 					request := &Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h", EchoHeader: "X-Id", EchoID: "a", MaxIdle: time.Minute}
-					for ; cut < len(answer); cut++ {
+					for ; cut.Load() < int64(len(answer)); cut.Add(1) {
 						for range kept {
 							resp, err := p.Do(context.Background(), request)
 							if err != nil {
@@ -87,7 +88,7 @@
 							continue
 						}
 						if got, err := io.ReadAll(resp.Body); err == nil {
-							t.Errorf("%d bytes of %d passed as an answer with status %d and body %q", cut, len(answer), resp.Status, got)
+							t.Errorf("%d bytes of %d passed as an answer with status %d and body %q", cut.Load(), len(answer), resp.Status, got)
 						}
 						_ = resp.Body.Close()
 					}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -247,13 +247,14 @@
 	if !now.Before(w.refuseAt) {
 		return placement{}, s.deadlineError(w)
 	}
+	refuseAt := w.refuseAt // once the request waits, a planned stop may move it up
 	s.mu.Lock()
 	s.recordSize(w)
 	s.overload.observe(w.call, now)
 	s.waiting = append(s.waiting, w)
 	s.mu.Unlock()
 	s.wakeUp()
-	timer := time.NewTimer(w.refuseAt.Sub(now))
+	timer := time.NewTimer(refuseAt.Sub(now))
 	defer timer.Stop()
 	select {
 	case placed := <-w.placed:
