Log no error when the client port is closed in a planned stop

What was seen: "client server stopped unexpectedly" at level error in each planned stop of the soak.

Cause: the listener of a client server ends a moment before the server is told to, and Serve returns the listener's error then.

Change: no such line once the port is closed.

--- a/internal/app/clientserver.go
+++ b/internal/app/clientserver.go
@@ -76,7 +76,8 @@
 	s.servers = append(s.servers, next)
 	s.current.Store(next)
 	go func() {
-		if err := next.Serve(next); !errors.Is(err, http.ErrServerClosed) {
+		// Once the port is closed, its listener ends before the server is told to.
+		if err := next.Serve(next); !errors.Is(err, http.ErrServerClosed) && !s.closed.Load() {
 			s.log.Error("client server stopped unexpectedly", "err", err)
 		}
 	}()
