Never count a reservation of memory that is refused

What callers could see: a 503 for a body that fits, while a larger one beside it is refused.

Cause: Budget.TryReserve added the bytes, compared, and took them back. Another caller that compared in that moment was refused too, and an observer saw more than the limit.

Change: the counts of all uses are one value that is replaced whole, and only if it is within the limits.

--- a/internal/outbuf/budget.go
+++ b/internal/outbuf/budget.go
@@ -24,13 +24,27 @@
 // replaces it; bodies leave room for the responses to the requests before them.
 var shares = [numUses]float64{RequestBodies: 0.75, Responses: 1, Streams: 0.5}
 
+// usage is the number of bytes that are held, by use and altogether. It is not changed once
+// it is shared.
+type usage struct {
+	total int64
+	of    [numUses]int64
+}
+
+// plus returns the usage with n more bytes of one use.
+func (u *usage) plus(use Use, n int64) *usage {
+	next := *u
+	next.of[use] += n
+	next.total += n
+	return &next
+}
+
 // Budget limits the bytes that a process holds for others. A nil Budget has no limit. It
 // is safe for concurrent use.
 type Budget struct {
 	limit  int64
 	limits [numUses]int64
-	total  atomic.Int64
-	used   [numUses]atomic.Int64
+	usage  atomic.Pointer[usage]
 }
 
 // NewBudget returns a budget of limit bytes.
@@ -39,24 +53,27 @@
 	for u := range b.limits {
 		b.limits[u] = int64(float64(limit) * shares[u])
 	}
+	b.usage.Store(new(usage))
 	return b
 }
 
 // TryReserve counts n bytes and returns true, unless they would exceed the budget or the
-// share of the use.
+// share of the use. Bytes that it refuses are never counted, so that they stand in the way
+// of no other caller.
 func (b *Budget) TryReserve(u Use, n int64) bool {
 	if b == nil {
 		return true
 	}
-	if b.used[u].Add(n) > b.limits[u] || b.total.Load()+n > b.limit {
-		b.used[u].Add(-n)
-		return false
-	}
-	if b.total.Add(n) > b.limit {
-		b.Release(u, n)
-		return false
+	for {
+		old := b.usage.Load()
+		next := old.plus(u, n)
+		if next.of[u] > b.limits[u] || next.total > b.limit {
+			return false
+		}
+		if b.usage.CompareAndSwap(old, next) {
+			return true
+		}
 	}
-	return true
 }
 
 // Reserve counts n bytes that are held in any case, even if they exceed the budget.
@@ -64,8 +81,12 @@
 	if b == nil {
 		return
 	}
-	b.used[u].Add(n)
-	b.total.Add(n)
+	for {
+		old := b.usage.Load()
+		if b.usage.CompareAndSwap(old, old.plus(u, n)) {
+			return
+		}
+	}
 }
 
 // Release returns n bytes.
@@ -76,7 +97,7 @@
 	if b == nil {
 		return 0
 	}
-	return b.used[u].Load()
+	return b.usage.Load().of[u]
 }
 
 // Total returns the bytes that are held for all uses.
@@ -84,7 +105,7 @@
 	if b == nil {
 		return 0
 	}
-	return b.total.Load()
+	return b.usage.Load().total
 }
 
 // Limit returns the size of the budget in bytes. b must not be nil.
