Let a limit run from the time at which the upstream named it

Cause: the place of a gateway's first request within its part of a limit was drawn when the first request asked for it, and not when the limit came into force. A gateway that learned of the limit from others and then had no calls therefore always refused its first one, unless its draw was 0.

Change: the limit holds the time at which it was first named, and the pace begins there.

Result: TestLimitRunsBeforeItIsAskedFor fails before (100 of 100 first requests refused).

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -20,6 +20,8 @@
 	// namedAt is the time of the last answer that named a limit; zero if none is in
 	// force.
 	namedAt time.Time
+	// since is the time at which the upstream named a limit after it had named none.
+	since time.Time
 	// endedAt is the time of the answer that ended the last limit.
 	endedAt time.Time
 	// pace spreads this gateway's part of the limit over time.
@@ -35,9 +37,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if named {
-		changed = u.limit.namedAt.IsZero() || u.limit.perSecond != perSecond
-		u.limit.perSecond, u.limit.namedAt = perSecond, now
-		return changed
+		return u.limit.set(perSecond, now)
 	}
 	if u.limit.namedAt.IsZero() || now.Sub(u.limit.namedAt) < limitReleaseDelay {
 		return false
@@ -59,8 +59,17 @@
 	if !namedAt.After(u.limit.namedAt) || !namedAt.After(u.limit.endedAt) {
 		return false
 	}
-	changed = u.limit.namedAt.IsZero() || u.limit.perSecond != perSecond
-	u.limit.perSecond, u.limit.namedAt = perSecond, namedAt
+	return u.limit.set(perSecond, namedAt)
+}
+
+// set puts a limit in force that the upstream named at the given time. It reports whether the
+// limit has changed.
+func (l *namedLimit) set(perSecond float64, namedAt time.Time) (changed bool) {
+	if l.namedAt.IsZero() {
+		l.since = namedAt
+	}
+	changed = l.namedAt.IsZero() || l.perSecond != perSecond
+	l.perSecond, l.namedAt = perSecond, namedAt
 	return changed
 }
 
@@ -117,7 +126,7 @@
 	if u.limit.namedAt.IsZero() {
 		return wait
 	}
-	u.limit.pace.Set(pace.ShareOf(u.limit.perSecond, gateways), rand.Float64(), now)
+	u.limit.pace.Set(pace.ShareOf(u.limit.perSecond, gateways), rand.Float64(), u.limit.since, now)
 	return max(wait, u.limit.pace.Wait(now))
 }
 
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -71,3 +71,25 @@
 		t.Error("an old report brought the limit back")
 	}
 }
+
+// Guards against a limit whose time begins when the first request asks for it: a process that
+// had long known the limit and sent nothing refused that request (TestRandomDays/910273).
+func TestLimitRunsBeforeItIsAskedFor(t *testing.T) {
+	const gateways, perSecond, plays = 3, 4.6, 50
+	named := time.Unix(1000, 0)
+	asked := named.Add(13 * time.Second)
+	refused := 0
+	for range plays {
+		var own, reported Upstream
+		own.RecordLimit(perSecond, true, named)
+		reported.RecordReportedLimit(perSecond, named)
+		for _, u := range []*Upstream{&own, &reported} {
+			if !u.TakeLimit(1, gateways, asked) {
+				refused++
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d first requests, 13 s after a limit of %v requests/s was named, were refused", refused, 2*plays, perSecond)
+	}
+}
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -60,8 +60,9 @@
 }
 
 // Set changes the share. draw is a uniform random number in [0, 1), by which the first
-// requests of several gateways fall on different times.
-func (p *Pace) Set(s Share, draw float64, now time.Time) {
+// requests of several gateways fall on different times after since, the time from which the
+// limit has been in force.
+func (p *Pace) Set(s Share, draw float64, since, now time.Time) {
 	if p.share == s {
 		return
 	}
@@ -70,7 +71,7 @@
 	latest := now.Add(s.Interval)
 	switch {
 	case first:
-		p.next = now.Add(time.Duration(draw * float64(s.Interval)))
+		p.next = since.Add(time.Duration(draw * float64(s.Interval)))
 	case p.next.After(latest):
 		p.next = latest
 	}
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -20,7 +20,7 @@
 					start := time.Unix(1000, 0)
 					paces := make([]Pace, gateways)
 					for i := range paces {
-						paces[i].Set(ShareOf(perSecond, gateways), rng.Float64(), start)
+						paces[i].Set(ShareOf(perSecond, gateways), rng.Float64(), start, start)
 					}
 					var sent []time.Time
 					for now := start.Add(idle); now.Before(start.Add(idle + 40*time.Second)); now = now.Add(step) {
@@ -58,7 +58,7 @@
 	now := time.Unix(1000, 0)
 	for _, perSecond := range []float64{0, 1e-300, 1e300, math.Inf(1)} {
 		var p Pace
-		p.Set(ShareOf(perSecond, 68), 0.5, now)
+		p.Set(ShareOf(perSecond, 68), 0.5, now, now)
 		for range 3 {
 			wait := p.Wait(now)
 			if wait < 0 || wait > 1400*time.Second {
@@ -74,8 +74,8 @@
 func TestRaisedLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var p Pace
-	p.Set(ShareOf(0.1, 4), 0.99, now)
-	p.Set(ShareOf(8, 4), 0.5, now)
+	p.Set(ShareOf(0.1, 4), 0.99, now, now)
+	p.Set(ShareOf(8, 4), 0.5, now, now)
 	if wait := p.Wait(now); wait > time.Second {
 		t.Errorf("wait %v; want at most the new interval", wait)
 	}
