Give final answers in a stop that was paused until its end

What callers saw: a gateway that was paused during its planned stop, until its grace period was nearly over, closed connections whose requests waited without an answer, and the process ended with code 1 (soak).

Cause: the times of a stop are fixed when it begins. After a pause the time for final answers and for closing had passed already, so nothing waited for them, and the deadline of all stop hooks was the end of the grace period, though only the platform's SIGKILL ends a process.

Change: at the end of service there are always 0.2 s until the connections are closed, and the hooks may go on for a second after the grace period.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -108,7 +108,7 @@
 	return fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(p.Settings.Shutdown.Grace),
+		fx.StopTimeout(p.Settings.Shutdown.Grace+shutdown.OverrunTime),
 		fx.Supply(p),
 		fx.Provide(
 			func(p GatewayProcess) *log.Logger { return p.Logger },
--- a/internal/app/gateway_drain.go
+++ b/internal/app/gateway_drain.go
@@ -33,16 +33,18 @@
 	log     *log.Logger
 }
 
-// run drains the client port within the grace period and closes it.
+// run drains the client port and closes it, within the grace period unless the process was paused
+// or delayed.
 func (d *clientDrain) run(ctx context.Context, grace time.Duration) {
 	times := d.gateway.Shutdown.Begin(time.Now(), grace, d.gateway.InFlight())
 	d.logStep("shutdown begins", "grace_ms", grace.Milliseconds(), "service_ms", times.EndOfService.Sub(times.Began).Milliseconds())
 	d.awaitRequests(ctx, times)
 	d.logStep("service ends")
 	d.gateway.Shutdown.EndService()
-	d.awaitAnswers(ctx, times.CloseBy.Add(-lastCloseTime))
+	closeBy := times.CloseAfter(time.Now())
+	d.awaitAnswers(ctx, closeBy.Add(-lastCloseTime))
 	d.logStep("closing the client port")
-	ctx, cancel := context.WithTimeout(ctx, min(closeTimeout, time.Until(times.CloseBy)))
+	ctx, cancel := context.WithTimeout(ctx, min(closeTimeout, time.Until(closeBy)))
 	defer cancel()
 	d.server.shutdown(ctx)
 	d.logStep("client port closed")
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -29,6 +29,12 @@
 	// of the grace period; the latter is a part of the grace period.
 	minReserve      = 500 * time.Millisecond
 	maxReserveShare = 0.25
+	// lateCloseTime is the least time between the end of service and the close of the
+	// connections, if the process was paused or delayed until then.
+	lateCloseTime = 200 * time.Millisecond
+	// OverrunTime is how long a process goes on with a stop after its grace period, unless the
+	// platform kills it. It needs that time only if it was paused or delayed.
+	OverrunTime = time.Second
 )
 
 // ErrEnded is the cause of calls that are ended because the process stops.
@@ -58,6 +64,16 @@
 	return t
 }
 
+// CloseAfter returns the time by which the connections are closed if the service ended at the
+// given time. It is CloseBy, or later if the service ended late: until the process is killed,
+// calls can still get their final answers.
+func (t *Timetable) CloseAfter(ended time.Time) time.Time {
+	if late := ended.Add(lateCloseTime); late.After(t.CloseBy) {
+		return late
+	}
+	return t.CloseBy
+}
+
 // Shutdown is the planned stop of a process. It may be used concurrently; a nil Shutdown
 // never begins.
 type Shutdown struct {
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -28,6 +28,9 @@
 			if !s.CloseBy.After(s.EndOfService) {
 				t.Errorf("grace %v, %d calls: no time for final answers", grace, inFlight)
 			}
+			if paused := began.Add(grace); !s.CloseAfter(paused).After(paused) {
+				t.Errorf("grace %v, %d calls: no time for final answers after a pause", grace, inFlight)
+			}
 		}
 	}
 }
