Let no signal break a start off, and no SIGHUP end a process

What callers saw: an entry or a sidecar that got SIGHUP ended at once, in the middle of their answers. A gateway that got SIGHUP while it read its settings ended as well; one that got SIGTERM then ended with code 1, "starting the gateway failed: context canceled".

Cause: SIGHUP was asked for after the settings were read, or never, and the context of the start ended with the first signal.

Change: both commands ask for SIGHUP first; an entry or a sidecar logs that it ignores it. The start has a limit of its own and no signal ends it; the stop takes its usual course afterwards.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -5,9 +5,7 @@
 	"flag"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
@@ -67,6 +65,7 @@
 		c.env.errorf("gateway: name the settings file with -config FILE\n")
 		return exitInvalidInput
 	}
+	reload := notifyHangup()
 	s, err := settings.LoadGateway(c.config)
 	if err != nil {
 		return c.env.reportSettingsError("gateway", err)
@@ -81,7 +80,7 @@
 		return exitInvalidInput
 	}
 	logger = logger.With("instance", s.Instance)
-	p, err := c.process(s, logger)
+	p, err := c.process(s, logger, reload)
 	p.LogDropped = logWriter.Dropped
 	if err != nil {
 		logger.Error("opening the listeners failed", "err", err)
@@ -91,10 +90,8 @@
 }
 
 // process returns the app.GatewayProcess for the settings, with open listeners.
-func (c *gatewayCommand) process(s *settings.Gateway, logger *log.Logger) (app.GatewayProcess, error) {
+func (c *gatewayCommand) process(s *settings.Gateway, logger *log.Logger, reload <-chan os.Signal) (app.GatewayProcess, error) {
 	pool := exchange.NewPool(nil)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	p := app.GatewayProcess{
 		Settings:     s,
 		SettingsPath: c.config,
@@ -111,9 +108,10 @@
 	return p, err
 }
 
+// runGateway runs a gateway until a signal ends ctx.
 func runGateway(ctx context.Context, p app.GatewayProcess) subcommands.ExitStatus {
 	a := fx.New(app.GatewayOptions(p))
-	if err := a.Start(ctx); err != nil {
+	if err := startProcess(ctx, a); err != nil {
 		p.Logger.Error("starting the gateway failed", "err", err)
 		return subcommands.ExitFailure
 	}
--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -156,7 +156,7 @@
 
 // Guards against an interrupted or wrong answer when the roles run in separate
 // processes: in the middle of an answer, the decode sidecar that runs it is killed and
-// the entry receives SIGTERM.
+// the entry receives SIGHUP, which must have no effect, and then SIGTERM.
 func TestSeparateProcesses(t *testing.T) {
 	c := newTestCluster(t)
 	c.startModelUpstream("prefill-1", engine.RolePrefill)
@@ -181,6 +181,11 @@
 			break
 		}
 		got.WriteString(completionText(t, data))
+		if n == 2 {
+			if err := entry.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
 		if n == 4 {
 			_ = decodes[c.findBusyDecode(t, decodes)].cmd.Process.Kill()
 			if err := entry.cmd.Process.Signal(syscall.SIGTERM); err != nil {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -39,7 +39,7 @@
 	return `serve -config FILE
   Runs the role that the settings name until SIGTERM or SIGINT, then shuts down
   gracefully: it refuses new work and waits for the requests in progress.
-  A second signal ends the process at once.
+  A second signal ends the process at once. SIGHUP has no effect.
   Exit code 2 when the settings have faults, 1 when the process cannot start.
 `
 }
@@ -55,6 +55,7 @@
 		c.env.errorf("serve: name the settings file with -config FILE\n")
 		return exitInvalidInput
 	}
+	hangup := notifyHangup()
 	s, err := settings.Load(c.config)
 	if err != nil {
 		return c.env.reportSettingsError("serve", err)
@@ -64,7 +65,7 @@
 		c.env.errorf("serve: %v\n", err)
 		return subcommands.ExitFailure
 	}
-	return c.run(ctx, process)
+	return c.run(ctx, process, hangup)
 }
 
 // process returns the app.Process for the settings, with open listeners and with
@@ -128,15 +129,15 @@
 	return err
 }
 
-func (c *serveCommand) run(ctx context.Context, p app.Process) subcommands.ExitStatus {
+// run runs the role until it is told to stop.
+func (c *serveCommand) run(ctx context.Context, p app.Process, hangup <-chan os.Signal) subcommands.ExitStatus {
 	a := fx.New(app.Options(p))
-	if err := a.Start(ctx); err != nil {
+	if err := startProcess(ctx, a); err != nil {
 		c.env.errorf("serve: %v\n", err)
 		return subcommands.ExitFailure
 	}
 	p.Logger.Info("started", "role", p.Settings.Role, "peer", p.PeerListener.Addr().String(), "admin", p.AdminListener.Addr().String())
-	// fx handles the signals. Done also returns after a drain requested by an operator.
-	<-a.Done()
+	awaitStop(ctx, a, hangup, p.Logger)
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StopTimeout())
 	defer cancel()
 	second := make(chan os.Signal, 1)
@@ -153,6 +154,37 @@
 	return stopProcess(stopCtx, a, p.Logger)
 }
 
+// notifyHangup returns a channel that receives SIGHUP, which ends the process before.
+func notifyHangup() <-chan os.Signal {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+// startProcess starts a process. A signal, which ends ctx, does not break the start off: what has
+// been started is stopped in order then.
+func startProcess(ctx context.Context, a *fx.App) error {
+	startCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.StartTimeout())
+	defer cancel()
+	return a.Start(startCtx)
+}
+
+// awaitStop waits until the process is told to stop: by a signal, which ends ctx, or by an
+// operator who drains it.
+func awaitStop(ctx context.Context, a *fx.App, hangup <-chan os.Signal, logger *log.Logger) {
+	done := a.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-done:
+			return
+		case <-hangup:
+			logger.Warn("SIGHUP ignored: the settings are read at the start only; restart the process to change them")
+		}
+	}
+}
+
 // stopProcess shuts a process down, logs the result and returns the exit code.
 func stopProcess(ctx context.Context, a *fx.App, logger *log.Logger) subcommands.ExitStatus {
 	if err := a.Stop(ctx); err != nil {
