Count the crash of an engine that holds a finished prefill

What callers saw: a request that crashes engines crashed three of them, two allowed (TestPoisonRequest/six_at_once_while_the_store_is_slow); others on the third engine ran again.

Cause: when an engine died while it held the output of a prefill, the sidecar reported an eviction, so the entry recorded no crash, and another copy of the request ran as the second one.

Change: it reports the loss of the engine, as for a prefill that is computed.

Result: TestCrashWhileOutputIsHeld fails before.

--- a/internal/sidecar/prefill_session.go
+++ b/internal/sidecar/prefill_session.go
@@ -164,9 +164,7 @@
 	switch {
 	case p.ctx.Err() != nil:
 	case lost || b.lost():
-		p.c.work.markFreed()
-		p.release()
-		p.sendFailed(wire.FailureKind_FAILURE_ENGINE_LOST, errEngineLost.Error())
+		p.reportEngineLost()
 	case engine.IsCode(err, engine.CodePromptTooLong):
 		p.sendRefused(refusalTooLarge(err.Error()))
 	case engine.IsCode(err, engine.CodeWrongRole):
@@ -178,6 +176,13 @@
 	}
 }
 
+// reportEngineLost ends the attempt after the engine died with the request or its output.
+func (p *prefillSession) reportEngineLost() {
+	p.c.work.markFreed()
+	p.release()
+	p.sendFailed(wire.FailureKind_FAILURE_ENGINE_LOST, errEngineLost.Error())
+}
+
 // holdOutput waits until the entry releases the output, the engine evicts it or the
 // engine dies.
 func (p *prefillSession) holdOutput(ctx context.Context, b *boot, holdTime time.Duration) {
@@ -187,7 +192,8 @@
 		select {
 		case <-ctx.Done():
 			if p.ctx.Err() == nil && b.lost() {
-				p.reportOutputLost("the engine restarted and lost the output; run the prefill again")
+				// The request may have caused that as much as one that is computed.
+				p.reportEngineLost()
 			}
 			return
 		case <-evict.C:
@@ -201,7 +207,7 @@
 	}
 }
 
-// reportOutputLost ends the attempt after the engine lost or evicted the output.
+// reportOutputLost ends the attempt after the engine evicted the output.
 func (p *prefillSession) reportOutputLost(detail string) {
 	p.c.work.markFreed()
 	p.release()
--- a/internal/sidecar/prefill_test.go
+++ b/internal/sidecar/prefill_test.go
@@ -82,6 +82,22 @@
 	})
 }
 
+// TestCrashWhileOutputIsHeld guards against a crash that counts as an eviction because the engine
+// had computed the prefill already: a request that crashes engines could then crash one more.
+func TestCrashWhileOutputIsHeld(t *testing.T) {
+	f := newFakeEngine(engine.RolePrefill)
+	f.holdTime = time.Minute
+	runWithHarness(t, f, func(h *harness) {
+		p := h.prefill(prefillFrame("a", "x"))
+		defer p.Close()
+		p.until(isReady)
+		f.crash()
+		if m := p.until(isPrefillFinal); m.GetFailed().GetKind() != wire.FailureKind_FAILURE_ENGINE_LOST {
+			t.Fatalf("got %v, want the loss of the engine", m)
+		}
+	})
+}
+
 // TestPrefillsAreServedByShare guards against a caller that gets more than its
 // share while others wait.
 func TestPrefillsAreServedByShare(t *testing.T) {
