Cancel the prefill of a failed attempt when a copy has crashed an engine

Cause: an attempt that fails for lack of its decode engine leaves its prefill running for the next one. Between the two, the request read no events, and other entries that asked were told that none of its copies ran unsuspected. So the kept prefill crashed its engine beside the suspect copy.

Change: the back-off handles events: it cancels the prefill when a crash becomes known and reports its own at once. A kept prefill counts as unsuspected, and a suspect waits for the copies at its own entry too.

--- a/internal/entry/runner.go
+++ b/internal/entry/runner.go
@@ -13,7 +13,6 @@
 	"github.com/fescueslip/fescueslip/internal/config"
 	"github.com/fescueslip/fescueslip/internal/fault"
 	"github.com/fescueslip/fescueslip/internal/telemetry"
-	"github.com/fescueslip/fescueslip/internal/wait"
 	"github.com/fescueslip/fescueslip/internal/wire"
 )
 
@@ -82,7 +81,7 @@
 	prefillEstimate  time.Duration    // estimated time from the grant until the import can begin
 	escalationTick   <-chan time.Time // fires when it is time to ask further sidecars; nil if there are none
 
-	runsUnsuspected atomic.Bool     // the running attempt began before a crash was known
+	runsUnsuspected atomic.Bool     // the running attempt, or a prefill kept for the next one, began before a crash was known
 	crashUnshared   bool            // a crash in this attempt has yet to be shared
 	avoid           map[string]bool // upstreams at which this request failed or crashed an engine
 }
@@ -113,7 +112,6 @@
 		}
 		r.runsUnsuspected.Store(!r.req.Suspect)
 		err := r.attempt()
-		r.runsUnsuspected.Store(false)
 		if errors.Is(err, errFinished) {
 			r.clearSuspicion()
 			r.entry.duplicates.markCompleted(r)
@@ -129,14 +127,39 @@
 		if !r.entry.retryBudget.allow(r.snap.Policy.RetryBudget, r.req.Caller.Name, failed.upstream) {
 			delay = maxRetryDelay
 		}
+		r.runsUnsuspected.Store(r.keepsUnsuspectedPrefill())
 		r.shareCrash()
-		if !wait.For(r.ctx, delay) {
-			return context.Cause(r.ctx)
+		if err := r.backOff(delay); err != nil {
+			return err
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// backOff waits before the next attempt. A prefill that the last attempt began may still run,
+// so its events are handled meanwhile: a crash must be known, and a copy that has become suspect
+// cancelled, before a suspect copy runs elsewhere.
+func (r *runner) backOff(delay time.Duration) error {
+	ctx, cancel := context.WithTimeout(r.ctx, delay)
+	defer cancel()
+	for {
+		ev, err := r.queue.next(ctx, nil)
+		if err != nil {
+			return context.Cause(r.ctx) // nil when only the delay is over
+		}
+		var failed *attemptError
+		if err := r.handleEvent(ev); err != nil && !errors.As(err, &failed) {
+			return err
+		}
+		r.runsUnsuspected.Store(r.keepsUnsuspectedPrefill())
+		r.shareCrash()
+	}
+}
+
+// keepsUnsuspectedPrefill reports whether a prefill that the next attempt may use began before a
+// crash was known, and is not cancelled.
+func (r *runner) keepsUnsuspectedPrefill() bool { return r.prefill != nil && !r.req.Suspect }
+
 // attempt runs one attempt. It returns errFinished when the response is complete
 // and an *attemptError when another attempt may follow.
 func (r *runner) attempt() error {
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -18,6 +18,12 @@
 		r.recordEvent("quarantined", "", "")
 		return quarantinedFault()
 	case quarantine.Suspect:
+		if r.prefill != nil && !r.req.Suspect {
+			// The crash became known just now, and the prefill of the last attempt still runs.
+			r.becomeSuspect()
+			r.shareCrash()
+			return r.checkQuarantine()
+		}
 		r.req.Suspect = true
 		for _, upstream := range r.entry.quarantine.CrashedUpstreams(r.req.Fingerprint) {
 			r.avoid[upstream] = true
@@ -38,13 +44,19 @@
 		if r.req.Suspect {
 			return nil
 		}
-		r.req.Suspect = true
-		r.cancelAttempt()
+		r.becomeSuspect()
 		return &attemptError{kind: wire.FailureKind_FAILURE_PREEMPTED, detail: "a copy of the request was in flight at a crash"}
 	}
 	return nil
 }
 
+// becomeSuspect cancels what the request began before the crash was known.
+func (r *runner) becomeSuspect() {
+	r.req.Suspect = true
+	r.cancelAttempt()
+	r.runsUnsuspected.Store(false)
+}
+
 // cancelTimeout bounds the wait for sidecars to confirm a cancellation. A
 // sidecar detects a dead engine within 500 ms.
 const cancelTimeout = time.Second
@@ -125,7 +137,8 @@
 
 // shareCrash informs the other entries of a crash before the request runs again.
 // They cancel their duplicates in flight and report the crashes that they know
-// of, so that the next attempt takes every crash so far into account.
+// of, so that the next attempt takes every crash so far into account. It then waits
+// for the duplicates at this entry.
 func (r *runner) shareCrash() {
 	if !r.crashUnshared {
 		return
@@ -134,6 +147,9 @@
 	if r.entry.crashes != nil {
 		r.entry.crashes.Broadcast(r.ctx, r.req.Fingerprint)
 	}
+	ctx, cancel := context.WithTimeout(r.ctx, cancelTimeout)
+	defer cancel()
+	r.entry.duplicates.waitUntilSuspected(ctx, r.req.Fingerprint)
 }
 
 func quarantinedFault() *fault.Error {
