Remove a channel of the planned stop that only its test read

Cause: Shutdown.Begun was made for queues that wait; they poll the timetable.

Change: the channel is gone; the test asks HasBegun in its place, which the queues use.

Result: the tests of internal/shutdown pass.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -79,14 +79,13 @@
 type Shutdown struct {
 	timetable atomic.Pointer[Timetable]
 	once      sync.Once
-	begun     chan struct{}
 	service   context.Context
 	end       context.CancelCauseFunc
 }
 
 // New returns the stop of a process that has not begun.
 func New() *Shutdown {
-	s := &Shutdown{begun: make(chan struct{})}
+	s := new(Shutdown)
 	s.service, s.end = context.WithCancelCause(context.Background())
 	return s
 }
@@ -94,21 +93,10 @@
 // Begin begins the stop, unless it has begun, and returns its timetable. The process is
 // killed when the grace period ends; inFlight is the number of calls in progress.
 func (s *Shutdown) Begin(now time.Time, grace time.Duration, inFlight int64) Timetable {
-	s.once.Do(func() {
-		s.timetable.Store(newTimetable(now, grace, inFlight))
-		close(s.begun)
-	})
+	s.once.Do(func() { s.timetable.Store(newTimetable(now, grace, inFlight)) })
 	return *s.timetable.Load()
 }
 
-// Begun returns a channel that is closed when the stop begins.
-func (s *Shutdown) Begun() <-chan struct{} {
-	if s == nil {
-		return nil
-	}
-	return s.begun
-}
-
 // HasBegun reports whether the stop has begun.
 func (s *Shutdown) HasBegun() bool { return s != nil && s.timetable.Load() != nil }
 
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -60,10 +60,8 @@
 		}
 		began := time.Now()
 		first := s.Begin(began, 8*time.Second, 0)
-		select {
-		case <-s.Begun():
-		default:
-			t.Error("Begun is open after the stop began")
+		if !s.HasBegun() {
+			t.Error("a stop that was begun has not")
 		}
 		time.Sleep(acceptTime / 2)
 		if s.RefusesCalls(time.Now()) {
