--- a/internal/exchange/cuthead_test.go
+++ b/internal/exchange/cuthead_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/rawserver"
 )
 
 // framedAnswers returns answers with the body "whole", by framing, and the length of their
@@ -26,13 +28,7 @@
 // with a part of the answer, after which it closes the connection in order or resets it.
 func cutter(t *testing.T, full int, answer func() (string, bool)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return serveRaw(t, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for i := range full + 1 {
 			req, err := http.ReadRequest(r)
@@ -47,19 +43,9 @@
 		part, reset := answer()
 		_, _ = io.WriteString(c, part)
 		if reset {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
+			rawserver.ResetOnClose(c)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against an answer that its server broke off, in its head or after it, and that is
--- a/internal/exchange/uploadreset_test.go
+++ b/internal/exchange/uploadreset_test.go
@@ -8,34 +8,19 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/fescueslip/fescueslip/internal/standin/rawserver"
 )
 
-// resettingServer answers each request early with a head that announces neither a length nor
-// chunks and a part of a body, and resets the connection later, while the request is still
-// being sent. pause returns the time between the two.
-func resettingServer(t *testing.T, readFirst int, pause func() time.Duration) (address string) {
+// serveRaw starts a server of raw connections and returns its address.
+func serveRaw(t *testing.T, serve func(c net.Conn)) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawserver.Start(serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.ReadFull(c, make([]byte, readFirst))
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart")
-				time.Sleep(pause())
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = s.Close() })
+	return s.Address()
 }
 
 // Guards against a part of an answer that is taken for the whole: the kernel reports a reset
@@ -46,7 +31,7 @@
 	for _, readFirst := range []int{64, 64 << 10, 1 << 20} {
 		for _, pause := range []time.Duration{0, 200 * time.Microsecond, time.Millisecond, 5 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%d bytes read, %v", readFirst, pause), func(t *testing.T) {
-				address := resettingServer(t, readFirst, func() time.Duration { return pause })
+				address := serveRaw(t, rawserver.AnswerAndReset(readFirst, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart", pause))
 				p := NewPool(nil)
 				defer p.CloseIdle("")
 				whole := 0
--- a/internal/plain/uploadreset_test.go
+++ b/internal/plain/uploadreset_test.go
@@ -4,40 +4,14 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"testing"
 	"time"
-)
 
-// serveResets answers each request on a loopback socket early with the head of a response
-// without a length and a part of its body, and resets the connection after the pause.
-func serveResets(t *testing.T, pause time.Duration) *url.URL {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.ReadFull(c, make([]byte, 64))
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-				time.Sleep(pause)
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-			}()
-		}
-	}()
-	return &url.URL{Scheme: "http", Host: l.Addr().String()}
-}
+	"github.com/fescueslip/fescueslip/internal/standin/rawserver"
+)
 
 // Guards against the part of a response that arrived before a reset which only the sender of
 // the request noticed, and that the sidecar passes on as whole.
@@ -46,7 +20,12 @@
 	body := make([]byte, 8<<20)
 	for _, pause := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
 		t.Run(fmt.Sprint(pause), func(t *testing.T) {
-			s := NewSidecar(SidecarOptions{Upstream: "u", Target: serveResets(t, pause)})
+			service, err := rawserver.Start(rawserver.AnswerAndReset(64, "HTTP/1.1 200 OK\r\n\r\npart", pause))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = service.Close() }()
+			s := NewSidecar(SidecarOptions{Upstream: "u", Target: &url.URL{Scheme: "http", Host: service.Address()}})
 			server := httptest.NewServer(s.Handler())
 			defer server.Close()
 			whole := 0
