Remember in the store which services have had several software versions

Cause: a gateway that has just started took not having seen another version for knowing that there was none for 30 s.

Change: gateways keep a key for a service with several versions, and under a lease of 30 s once one is left. While it is there, streams of unknown origin are refused. Nothing is written for services with one version.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -123,8 +123,9 @@
 			newGatewayList,
 			newRolePlanReader,
 			newSuspensionWriter,
+			newVersionOverlaps,
 		),
-		fx.Invoke(registerGatewayMetrics, serveReady, serveGatewayAdmin, followStore, joinGateways, shareSuspensions, manageRoles, watchSettings, serveClients),
+		fx.Invoke(registerGatewayMetrics, serveReady, serveGatewayAdmin, followStore, joinGateways, shareSuspensions, recordVersionOverlaps, manageRoles, watchSettings, serveClients),
 	)
 }
 
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -15,13 +15,13 @@
 )
 
 // followStore mirrors the store and keeps the routing table, the fleet, the gateway
-// list, the role changes and the suspensions in line with it.
-func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, writer *suspensionWriter, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
-	follower := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, writer: writer, log: p.Logger}, log: p.Logger}
+// list, the role changes, the suspensions and the overlaps of software versions in line with it.
+func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, writer *suspensionWriter, overlaps *versionOverlaps, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
+	follower := &storeFollower{adapter: p.Adapter, topology: t, gateways: gateways, plans: plans, suspensions: &suspensionReader{gateway: g, writer: writer, log: p.Logger}, overlaps: overlaps, log: p.Logger}
 	versions := storedVersions{adapter: p.Adapter}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
-		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix, suspensionsPrefix},
+		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix, suspensionsPrefix, overlapsPrefix},
 		WatchPrefix: "",
 		Ephemeral: func(key string) bool {
 			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
@@ -69,6 +69,7 @@
 	gateways       *gatewayList
 	plans          *rolePlanReader
 	suspensions    *suspensionReader
+	overlaps       *versionOverlaps
 	log            *log.Logger
 	configRevision revision.Revision
 	// invalidEntries maps the keys of entries that could not be decoded to the
@@ -114,6 +115,7 @@
 	f.gateways.apply(view, f.log)
 	f.plans.apply(view, f.log)
 	f.suspensions.apply(view)
+	f.overlaps.apply(view)
 	f.topology.listRead.Store(true)
 }
 
--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -39,9 +39,9 @@
 }
 
 const (
-	// originLifetime is how long the version of a stream is remembered after its last run
+	// OriginLifetime is how long the version of a stream is remembered after its last run
 	// began. Clients take a stream up within their own deadline.
-	originLifetime = 30 * time.Second
+	OriginLifetime = 30 * time.Second
 	// maxOrigins limits the streams that are remembered. The memory of one is about 100
 	// bytes.
 	maxOrigins = 64 << 10
@@ -60,6 +60,9 @@
 	reported int
 	// seen holds when each software version of a service was listed last.
 	seen map[string]map[string]time.Time
+	// overlaps holds the services that have had several versions lately, by what gateways
+	// recorded in the store. It knows of the time before this process started.
+	overlaps map[string]bool
 }
 
 func newStreamOrigins() *streamOrigins {
@@ -89,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, known := s.known[key]
-	return o.Version, known && now.Sub(o.Begun) < originLifetime
+	return o.Version, known && now.Sub(o.Begun) < OriginLifetime
 }
 
 // report returns the streams of this gateway that other gateways have not been told, or
@@ -119,7 +122,7 @@
 // expire forgets old streams. The caller holds s.mu.
 func (s *streamOrigins) expire(now time.Time) {
 	old := 0
-	for old < len(s.own) && now.Sub(s.own[old].Begun) >= originLifetime {
+	for old < len(s.own) && now.Sub(s.own[old].Begun) >= OriginLifetime {
 		old++
 	}
 	s.own = s.own[old:]
@@ -132,14 +135,14 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	for key, o := range s.known {
-		if now.Sub(o.Begun) >= originLifetime {
+		if now.Sub(o.Begun) >= OriginLifetime {
 			delete(s.known, key)
 		}
 	}
 	f.Each(func(u *fleet.Upstream) { s.noteVersion(u.Instance(), now) })
 	for service, versions := range s.seen {
 		for version, at := range versions {
-			if now.Sub(at) >= originLifetime {
+			if now.Sub(at) >= OriginLifetime {
 				delete(versions, version)
 			}
 		}
@@ -159,16 +162,26 @@
 	versions[i.SoftwareVersion] = now
 }
 
+// replaceOverlaps replaces the services that have had several versions lately.
+func (s *streamOrigins) replaceOverlaps(services map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.overlaps = services
+}
+
 // onlyVersion returns the software version of a service if no other has been listed within
-// originLifetime.
+// OriginLifetime, by what this process has seen and what was recorded before.
 func (s *streamOrigins) onlyVersion(service string, listed []string, now time.Time) (version string, only bool) {
 	if len(listed) != 1 {
 		return "", false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.overlaps[service] {
+		return "", false
+	}
 	for version, at := range s.seen[service] {
-		if version != listed[0] && now.Sub(at) < originLifetime {
+		if version != listed[0] && now.Sub(at) < OriginLifetime {
 			return "", false
 		}
 	}
@@ -205,6 +218,12 @@
 	return pin, nil
 }
 
+// ReplaceVersionOverlaps tells the gateway which services have had several software versions within
+// OriginLifetime, by what gateways recorded. The map must not be changed afterwards.
+func (g *Gateway) ReplaceVersionOverlaps(services map[string]bool) {
+	g.origins.replaceOverlaps(services)
+}
+
 // canGoOn reports whether a stream with this restriction can be run now.
 func (g *Gateway) canGoOn(service string, pin versionPin) bool {
 	for _, u := range g.Fleet.Snapshot().Service(service) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -161,6 +162,7 @@
 	// Accounts holds the client accounts; nil means that requests need no account.
 	Accounts   *account.Directory
 	byHost     map[string][]*Route // longest prefix first
+	resumable  []string            // see ResumableServices
 	routeCount int
 }
 
@@ -183,9 +185,26 @@
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.resumable = resumableServices(routes)
 	return t
 }
 
+// ResumableServices returns the names of the services whose streams may continue at another
+// upstream, sorted.
+func (t *Table) ResumableServices() []string { return t.resumable }
+
+func resumableServices(routes []*Route) []string {
+	names := make(map[string]bool)
+	for _, r := range routes {
+		for _, s := range r.WeightedServices {
+			if r.Resumable {
+				names[s.Service] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // WithAccounts returns a copy of the table that has the accounts.
 func (t *Table) WithAccounts(d *account.Directory) *Table {
 	c := *t
