--- a/internal/app/gateway_versionoverlaps.go
+++ b/internal/app/gateway_versionoverlaps.go
@@ -50,13 +50,14 @@
 // versionOverlaps records in the store which services have, or lately had, several software
 // versions, and tells the gateway what is recorded. It writes only when versions come and go.
 type versionOverlaps struct {
-	ownName  string
-	store    presence.Store
-	gateways func() int
-	upstream *fleet.Fleet
-	tables   *routing.Holder
-	gateway  *gateway.Gateway
-	log      *log.Logger
+	ownName string
+	store   presence.Store
+	// gateways returns the number of gateways.
+	gateways  func() int
+	upstreams *fleet.Fleet
+	tables    *routing.Holder
+	gateway   *gateway.Gateway
+	log       *log.Logger
 
 	mu sync.Mutex
 	// stored holds the entries in the store by service; nil until the store has been read.
@@ -66,7 +67,7 @@
 func newVersionOverlaps(p GatewayProcess, t *topology, gateways *gatewayList, g *gateway.Gateway) *versionOverlaps {
 	return &versionOverlaps{
 		ownName: p.Settings.Instance, store: p.Adapter.Presence, gateways: gateways.recentCount,
-		upstream: t.fleet, tables: t.tables, gateway: g, log: p.Logger,
+		upstreams: t.fleet, tables: t.tables, gateway: g, log: p.Logger,
 	}
 }
 
@@ -127,7 +128,7 @@
 	}
 	for _, service := range o.services(stored) {
 		entry, recorded := stored[service]
-		overlap := len(o.upstream.Snapshot().SoftwareVersions(service)) > 1
+		overlap := len(o.upstreams.Snapshot().SoftwareVersions(service)) > 1
 		if overlap && (!recorded || entry.Ending) || !overlap && recorded && !entry.Ending {
 			due[service] = overlapEntry{By: o.ownName, Ending: !overlap}
 		}
@@ -144,6 +145,7 @@
 	return services
 }
 
+// write writes the entry of a service.
 func (o *versionOverlaps) write(ctx context.Context, service string, entry overlapEntry) error {
 	ctx, cancel := context.WithTimeout(ctx, overlapWriteTimeout)
 	defer cancel()
@@ -160,6 +162,6 @@
 	if err := o.store.Put(ctx, overlapsPrefix+service, value, lease); err != nil {
 		return err
 	}
-	o.log.Info("software versions of a service recorded", "service", service, "versions", o.upstream.Snapshot().SoftwareVersions(service), "ending", entry.Ending)
+	o.log.Info("software versions of a service recorded", "service", service, "versions", o.upstreams.Snapshot().SoftwareVersions(service), "ending", entry.Ending)
 	return nil
 }
