Send calls to the sidecar under test in one place

Cause: five tests of internal/plain built the same request.

Change: postToSidecar; no assertion changes.

Result: the tests of the package pass.

--- a/internal/plain/answerend_test.go
+++ b/internal/plain/answerend_test.go
@@ -47,13 +47,8 @@
 				s := NewSidecar(SidecarOptions{Upstream: "u", Target: serveOnce(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+body, crash)})
 				server := httptest.NewServer(s.Handler())
 				defer server.Close()
-				req, err := http.NewRequest(http.MethodPost, server.URL+pathPrefix+"/x", nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				req.Header.Set(headerUpstream, "u")
 				complete := false
-				if resp, err := http.DefaultClient.Do(req); err == nil {
+				if resp, err := postToSidecar(t, server, nil); err == nil {
 					_, err = io.ReadAll(resp.Body)
 					complete = err == nil
 					_ = resp.Body.Close()
--- a/internal/plain/cuthead_test.go
+++ b/internal/plain/cuthead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"net/http/httptest"
 	"testing"
 )
@@ -18,12 +17,7 @@
 		for cut := range response {
 			s := NewSidecar(SidecarOptions{Upstream: "u", Target: serveOnce(t, response[:cut], false)})
 			server := httptest.NewServer(s.Handler())
-			req, err := http.NewRequest(http.MethodPost, server.URL+pathPrefix+"/x", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Header.Set(headerUpstream, "u")
-			if resp, err := http.DefaultClient.Do(req); err == nil {
+			if resp, err := postToSidecar(t, server, nil); err == nil {
 				_, err = io.ReadAll(resp.Body)
 				if err == nil && resp.Header.Get(headerVerdict) == string(verdictAnswered) {
 					t.Errorf("%s: %d bytes passed as an answer", framing, cut)
--- a/internal/plain/headlimit_test.go
+++ b/internal/plain/headlimit_test.go
@@ -1,7 +1,6 @@
 package plain
 
 import (
-	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"testing"
@@ -17,12 +16,7 @@
 		service := &endless.Server{Interim: interim}
 		s := NewSidecar(SidecarOptions{Upstream: "u", Target: &url.URL{Scheme: "http", Host: "service:80"}, Dial: service.Dial})
 		server := httptest.NewServer(s.Handler())
-		req, err := http.NewRequest(http.MethodPost, server.URL+pathPrefix+"/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Header.Set(headerUpstream, "u")
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := postToSidecar(t, server, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/plain/oddstatus_test.go
+++ b/internal/plain/oddstatus_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"net/http/httptest"
 	"testing"
 )
@@ -16,12 +15,7 @@
 			s := NewSidecar(SidecarOptions{Upstream: "u", Target: target})
 			server := httptest.NewServer(s.Handler())
 			defer server.Close()
-			req, err := http.NewRequest(http.MethodPost, server.URL+pathPrefix+"/x", nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Header.Set(headerUpstream, "u")
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := postToSidecar(t, server, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/plain/uploadreset_test.go
+++ b/internal/plain/uploadreset_test.go
@@ -13,6 +13,17 @@
 	"github.com/fescueslip/fescueslip/internal/standin/rawserver"
 )
 
+// postToSidecar sends the sidecar of upstream u a call with the body, which may be nil.
+func postToSidecar(t *testing.T, sidecar *httptest.Server, body io.Reader) (*http.Response, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, sidecar.URL+pathPrefix+"/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(headerUpstream, "u")
+	return http.DefaultClient.Do(req)
+}
+
 // Guards against the part of a response that arrived before a reset which only the sender of
 // the request noticed, and that the sidecar passes on as whole.
 func TestResetDuringUploadToService(t *testing.T) {
@@ -30,12 +41,7 @@
 			defer server.Close()
 			whole := 0
 			for range tries {
-				req, err := http.NewRequest(http.MethodPost, server.URL+pathPrefix+"/x", bytes.NewReader(body))
-				if err != nil {
-					t.Fatal(err)
-				}
-				req.Header.Set(headerUpstream, "u")
-				resp, err := http.DefaultClient.Do(req)
+				resp, err := postToSidecar(t, server, bytes.NewReader(body))
 				if err != nil {
 					continue
 				}
