Let both queues ask the planned stop for their last moment

Cause: two queues compared the end of service, less the time that they need, with their own limit, in the same lines; Shutdown.Earliest did so without that time.

Change: Earliest takes the time that is needed. No behaviour changes.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -73,7 +73,7 @@
 
 // timeout returns the time that an upstream may spend on the call.
 func (g *Gateway) timeout(c *Call, now time.Time) time.Duration {
-	end, _ := g.Shutdown.Earliest(c.Deadline)
+	end, _ := g.Shutdown.Earliest(c.Deadline, 0)
 	return end.Sub(now)
 }
 
@@ -97,11 +97,7 @@
 // the cost of one attempt of its client; a stream that is broken off has cost its engines
 // the prompt and the output too.
 func (w *waitingRequest) limitByShutdown(s *shutdown.Shutdown) {
-	end, begun := s.EndOfService()
-	if !begun {
-		return
-	}
-	if t := end.Add(-w.minDelay - shutdownOutputFactor*w.outputTime); t.Before(w.refuseAt) {
+	if t, earlier := s.Earliest(w.refuseAt, w.minDelay+shutdownOutputFactor*w.outputTime); earlier {
 		w.refuseAt, w.leaving = t, true
 	}
 }
@@ -109,11 +105,7 @@
 // limitByShutdown moves the refusal up if the answer can't be expected before the end of
 // service.
 func (w *plainCall) limitByShutdown(s *shutdown.Shutdown) {
-	end, begun := s.EndOfService()
-	if !begun {
-		return
-	}
-	if t := end.Add(-w.call.expectedAnswerTime(w.latency)); t.Before(w.refuseAt) {
+	if t, earlier := s.Earliest(w.refuseAt, w.call.expectedAnswerTime(w.latency)); earlier {
 		w.refuseAt, w.leaving = t, true
 	}
 }
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -116,11 +116,12 @@
 	return s.timetable.Load().EndOfService, true
 }
 
-// Earliest returns the earlier one of a time and the end of service, and whether it is the
-// end of service.
-func (s *Shutdown) Earliest(t time.Time) (earliest time.Time, byShutdown bool) {
-	if end, begun := s.EndOfService(); begun && end.Before(t) {
-		return end, true
+// Earliest returns the earlier one of a time and the last one from which needed time is left
+// until the end of service, and whether it is the latter.
+func (s *Shutdown) Earliest(t time.Time, needed time.Duration) (earliest time.Time, byShutdown bool) {
+	end, begun := s.EndOfService()
+	if last := end.Add(-needed); begun && last.Before(t) {
+		return last, true
 	}
 	return t, false
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -55,7 +55,7 @@
 			t.Error("a stop that has not begun refuses calls")
 		}
 		deadline := time.Now().Add(time.Hour)
-		if at, byShutdown := s.Earliest(deadline); byShutdown || !at.Equal(deadline) {
+		if at, byShutdown := s.Earliest(deadline, 0); byShutdown || !at.Equal(deadline) {
 			t.Errorf("a call must be answered by %v before the stop; want its deadline", at)
 		}
 		began := time.Now()
@@ -74,7 +74,7 @@
 		if !s.RefusesCalls(time.Now()) {
 			t.Error("calls are still accepted")
 		}
-		if at, byShutdown := s.Earliest(deadline); !byShutdown || !at.Equal(first.EndOfService) {
+		if at, byShutdown := s.Earliest(deadline, 0); !byShutdown || !at.Equal(first.EndOfService) {
 			t.Errorf("a call must be answered by %v; want the end of service", at)
 		}
 		if ctx.Err() != nil {
