Let a request become suspect in one way only

Cause: checkQuarantine had a case of its own for a prefill that still runs. Cancelling does nothing without one.

Change: the case is gone.

--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -18,13 +18,12 @@
 		r.recordEvent("quarantined", "", "")
 		return quarantinedFault()
 	case quarantine.Suspect:
-		if r.prefill != nil && !r.req.Suspect {
-			// The crash became known just now, and the prefill of the last attempt still runs.
+		if !r.req.Suspect {
+			// The prefill of the last attempt may still run, and crash its engine.
 			r.becomeSuspect()
 			r.shareCrash()
 			return r.checkQuarantine()
 		}
-		r.req.Suspect = true
 		for _, upstream := range r.entry.quarantine.CrashedUpstreams(r.req.Fingerprint) {
 			r.avoid[upstream] = true
 		}
