--- a/internal/app/gateway_list.go
+++ b/internal/app/gateway_list.go
@@ -19,7 +19,7 @@
 )
 
 // gatewaysPrefix is the prefix of the store keys of the live gateways, one key each.
-const gatewaysPrefix = "fescueslip/gateways/"
+const gatewaysPrefix = ownPrefix + "gateways/"
 
 // defaultGatewayCount is the number of gateways that is assumed until the list has
 // been read.
--- a/internal/app/gateway_roles.go
+++ b/internal/app/gateway_roles.go
@@ -17,10 +17,6 @@
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
-// rolesPrefix is the prefix of roles.LeaderKey, which names the gateway that may
-// change roles, and of roles.PlanKey, which holds the role change in progress.
-const rolesPrefix = "fescueslip/roles/"
-
 // rolePlanReader applies the role changes that the store announces. While an
 // engine changes its role, the gateway sends it no requests.
 type rolePlanReader struct {
--- a/internal/app/gateway_store.go
+++ b/internal/app/gateway_store.go
@@ -14,6 +14,9 @@
 	"github.com/fescueslip/fescueslip/internal/routing"
 )
 
+// ownPrefix is the prefix of all store keys that gateways write. They are listed at once.
+const ownPrefix = "fescueslip/"
+
 // followStore mirrors the store and keeps the routing table, the fleet, the gateway
 // list, the role changes, the suspensions and the overlaps of software versions in line with it.
 func followStore(p GatewayProcess, t *topology, gateways *gatewayList, plans *rolePlanReader, writer *suspensionWriter, overlaps *versionOverlaps, g *gateway.Gateway, b *background, lc fx.Lifecycle) {
@@ -21,7 +24,7 @@
 	versions := storedVersions{adapter: p.Adapter}
 	m := mirror.New(mirror.Options{
 		Store:       p.Adapter.Store,
-		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, gatewaysPrefix, rolesPrefix, suspensionsPrefix, overlapsPrefix},
+		Prefixes:    []string{p.Adapter.ConfigurationPrefix, p.Adapter.InstancesPrefix, ownPrefix},
 		WatchPrefix: "",
 		Ephemeral: func(key string) bool {
 			return strings.HasPrefix(key, p.Adapter.InstancesPrefix) || strings.HasPrefix(key, gatewaysPrefix)
--- a/internal/app/gateway_suspensions.go
+++ b/internal/app/gateway_suspensions.go
@@ -24,7 +24,7 @@
 // are refused because they crash upstreams. The rest of the key is the fingerprint that
 // requests must have to be refused, or a hash of several such fingerprints. Gateways
 // that start later learn of the suspensions from these keys.
-const suspensionsPrefix = "fescueslip/suspended/"
+const suspensionsPrefix = ownPrefix + "suspended/"
 
 // liftedPrefix follows suspensionsPrefix in the keys of fingerprints that an operator
 // has let run again. The rest of the key is the fingerprint.
--- a/internal/app/gateway_versionoverlaps.go
+++ b/internal/app/gateway_versionoverlaps.go
@@ -24,7 +24,7 @@
 // overlapsPrefix is the prefix of the store keys of services whose upstreams have, or lately had,
 // several software versions. The rest of the key is the service. A gateway learns from them after its
 // start that the only version it sees need not be the one that began a stream it does not know.
-const overlapsPrefix = "fescueslip/versions/"
+const overlapsPrefix = ownPrefix + "versions/"
 
 const (
 	// overlapCheckInterval is how often the list of upstreams is compared with the store.
