Leave a paused stop the time for its calls to a silent store

Cause: removing the registration from a silent store takes up to 1 s, as long as the hooks had after the grace period.

Change: they have 2 s.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -33,8 +33,9 @@
 	// connections, if the process was paused or delayed until then.
 	lateCloseTime = 200 * time.Millisecond
 	// OverrunTime is how long a process goes on with a stop after its grace period, unless the
-	// platform kills it. It needs that time only if it was paused or delayed.
-	OverrunTime = time.Second
+	// platform kills it. It needs that time only if it was paused or delayed. The calls that
+	// remove its registration may take a second if the store is silent.
+	OverrunTime = 2 * time.Second
 )
 
 // ErrEnded is the cause of calls that are ended because the process stops.
