--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -30,6 +30,7 @@
 	"hot-lookup":  playHotLookup,
 	"head-limit":  playHeadLimit,
 	"pause":       playPause,
+	"limit":       playLimit,
 	"crash-part":  playCrashPart,
 	"crash-again": playCrashAgain,
 }
--- a/review/kit-3/pause.go
+++ b/review/kit-3/pause.go
@@ -48,6 +48,12 @@
 	cut      bool
 	lastBeat time.Time
 	listed   bool
+	// limit is what the server names in Server-Limit, in requests a second; 0 for nothing.
+	limit int
+	// unframed makes answers end with their connection, with neither length nor chunks.
+	unframed bool
+	// probes and requests are the times at which health checks and requests reached it.
+	probes, requests []time.Time
 	// refusedAt is when the server first turned a request of each gateway away, and arrivals
 	// the times at which requests of each gateway reached it.
 	refusedAt map[string]time.Time
@@ -121,6 +127,9 @@
 	w.Header().Set("Fescueslip-Request-Id", id)
 	w.Header().Set("Fescueslip-Instance-Id", d.id)
 	if r.URL.Path == "/health" {
+		d.mu.Lock()
+		d.probes = append(d.probes, time.Now())
+		d.mu.Unlock()
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, d.born)
 		return
 	}
@@ -138,6 +147,15 @@
 	time.Sleep(deskWork)
 	<-d.slots
 	w.Header().Set("Fescueslip-Server-Signature", d.id+"."+id)
+	d.mu.Lock()
+	limit, unframed := d.limit, d.unframed
+	d.mu.Unlock()
+	if limit > 0 {
+		w.Header().Set("Server-Limit", strconv.Itoa(limit))
+	}
+	if unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then ends the answer with the connection
+	}
 	_, _ = fmt.Fprintf(w, "answer of %s to %s\n", d.id, id)
 }
 
@@ -148,6 +166,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.arrivals[gateway] = append(d.arrivals[gateway], now)
+	d.requests = append(d.requests, now)
 	if !d.shedding {
 		return false
 	}
