--- a/review/kit-3/crashpart.go
+++ b/review/kit-3/crashpart.go
@@ -37,7 +37,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	clients.Go(func() { w.sendSound(ctx) })
+	clients.Go(func() { w.sendSound(ctx, "f1057", "ca11e7") })
 	for n := range crashBursts {
 		w.logf("burst %d of %d requests with the part", n+1, crashBurst)
 		for i := range crashBurst {
@@ -62,14 +62,14 @@
 	return len(violations) > 0, nil
 }
 
-// sendSound sends sound requests with the same first parts until ctx ends.
-func (w *world) sendSound(ctx context.Context) {
+// sendSound sends sound requests with the same shared parts until ctx ends.
+func (w *world) sendSound(ctx context.Context, parts ...string) {
 	var clients sync.WaitGroup
 	defer clients.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
 		g := w.gateways[n%len(w.gateways)]
 		clients.Go(func() {
-			req := w.modelRequest(emulator.StreamPrefix, 10, streamDeadline, "f1057", "ca11e7")
+			req := w.modelRequest(emulator.StreamPrefix, 10, streamDeadline, parts...)
 			resp := w.Do(ctx, g.client(), req)
 			w.logf("sound request %s at %s: status %d, %d events", req.ID, g.name, resp.Status, eventsOf(resp))
 		})
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -33,6 +33,7 @@
 	"limit":       playLimit,
 	"crash-part":  playCrashPart,
 	"crash-again": playCrashAgain,
+	"far-part":    playFarPart,
 }
 
 func main() {
--- a/review/kit-3/world.go
+++ b/review/kit-3/world.go
@@ -273,7 +273,7 @@
 // modelRequest returns a model request with the number of events and, if there are any, the
 // parts of its prompt.
 func (w *world) modelRequest(prefix string, events int, timeout time.Duration, parts ...string) emulator.Request {
-	const prompt, tokensPerEvent = 2000, 59
+	const prompt, partTokens, tokensPerEvent = 2000, 50, 59
 	id := w.newID("s")
 	req := emulator.Request{ID: id, Method: http.MethodPost, Host: emulator.Host, Path: prefix + id, Body: strconv.Itoa(events), Timeout: timeout}
 	req.Header = http.Header{
@@ -283,9 +283,9 @@
 	}
 	entries := make([]string, 0, len(parts)+1)
 	for _, part := range parts {
-		entries = append(entries, part+":200")
+		entries = append(entries, fmt.Sprintf("%s:%d", part, partTokens))
 	}
-	entries = append(entries, fmt.Sprintf("%x:%d", id, prompt-200*len(parts)))
+	entries = append(entries, fmt.Sprintf("%x:%d", id, prompt-partTokens*len(parts)))
 	req.Header.Set("Fescueslip-Prefix-Hash", strings.Join(entries, ","))
 	return req
 }
