--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3 ] && [ -x target/fescueslip ] || exit 2
-exec target/review-3 crash-part review/14
+exec target/review-3 far-part review/14
--- a/review/kit-3/farpart.go
+++ b/review/kit-3/farpart.go
@@ -17,6 +17,9 @@
 	// to the next.
 	farRequests = 14
 	farInterval = 3 * time.Second
+	// soundInterval is the time between two sound requests.
+	soundInterval = 250 * time.Millisecond
+	crashingPart  = "bad0bad0"
 )
 
 // playFarPart lets requests with a part that crashes model servers come one after the other,
@@ -63,3 +66,18 @@
 	}
 	return len(violations) > 0, nil
 }
+
+// sendSound sends sound requests with the same shared parts until ctx ends.
+func (w *world) sendSound(ctx context.Context, parts ...string) {
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		g := w.gateways[n%len(w.gateways)]
+		clients.Go(func() {
+			req := w.modelRequest(emulator.StreamPrefix, 10, streamDeadline, parts...)
+			resp := w.Do(ctx, g.client(), req)
+			w.logf("sound request %s at %s: status %d, %d events", req.ID, g.name, resp.Status, eventsOf(resp))
+		})
+		time.Sleep(soundInterval)
+	}
+}
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -31,7 +31,6 @@
 	"head-limit":  playHeadLimit,
 	"pause":       playPause,
 	"limit":       playLimit,
-	"crash-part":  playCrashPart,
 	"crash-again": playCrashAgain,
 	"far-part":    playFarPart,
 }
--- a/review/kit-3/powercut.go
+++ b/review/kit-3/powercut.go
@@ -35,7 +35,7 @@
 		all[i] = &stream{first: w.modelRequest(emulator.ResumePrefix, streamEvents, streamDeadline)}
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
-			w.follow(all[i], i, began.Add(breakAt))
+			w.follow(all[i], i, began.Add(breakAt), darkTime+2*time.Second)
 		})
 	}
 	time.Sleep(time.Until(began.Add(breakAt)))
@@ -82,10 +82,7 @@
 		if !s.goesOn {
 			continue
 		}
-		executions := w.ExecutionLog.Executions(s.first.ID)
-		for _, id := range s.ids {
-			executions = append(executions, w.ExecutionLog.Executions(id)...)
-		}
+		executions := append(w.ExecutionLog.Executions(s.first.ID), w.ExecutionLog.Executions(s.takeUpID())...)
 		for _, violation := range emulator.VersionViolations(executions) {
 			w.logf("stream %s: %s", s.first.ID, violation)
 			mixed++
--- a/review/kit-3/takeup.go
+++ b/review/kit-3/takeup.go
@@ -21,22 +21,18 @@
 	breakAt = 2 * time.Second
 	// minTakeUps is the number of streams that must have been taken up for the rule to apply.
 	minTakeUps = 12
-	// firstPause and nextPause are the least pauses of a client before it tries to take its
-	// stream up, and minLeft the time that it must have left. It honours Retry-After.
-	firstPause, nextPause = time.Second, 2 * time.Second
-	minLeft               = 3 * time.Second
+	// takeUpAfter is how long after the break a client takes its stream up: the processes that
+	// were killed have run for contact-ms then.
+	takeUpAfter = restartDelay + contact + time.Second
 )
 
-// stream is one stream of a client over its attempts.
+// stream is one stream of a client over its two attempts.
 type stream struct {
-	first    emulator.Request
-	events   int
-	attempts int
-	// inTouch counts the attempts to take it up at machines in touch.
-	inTouch int
-	goesOn  bool
-	// ids holds the IDs of the attempts to take it up.
-	ids []string
+	first  emulator.Request
+	events int
+	// inTouch is set if it was taken up at a machine in touch, and goesOn if it brought
+	// further events then.
+	inTouch, goesOn bool
 }
 
 // playTakeUp breaks streams off by killing all gateways, while servers of two software
@@ -62,7 +58,7 @@
 		all[i] = &stream{first: w.modelRequest(emulator.ResumePrefix, streamEvents, streamDeadline)}
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
-			w.follow(all[i], i, began.Add(breakAt))
+			w.follow(all[i], i, began.Add(breakAt), takeUpAfter)
 		})
 	}
 	time.Sleep(time.Until(began.Add(breakAt)))
@@ -77,9 +73,9 @@
 	return w.judgeTakeUp(all, begun), nil
 }
 
-// follow sends a stream and takes it up when it breaks off. loss is when the client loses its
-// connection if there is no trouble.
-func (w *world) follow(s *stream, number int, loss time.Time) {
+// follow sends a stream and, when it breaks off, takes it up once, after a pause, on a new
+// connection. loss is when the client loses its connection if there is no trouble.
+func (w *world) follow(s *stream, number int, loss time.Time, pause time.Duration) {
 	ctx := context.Background()
 	if !w.trouble {
 		var cancel context.CancelFunc
@@ -91,37 +87,25 @@
 	resp := w.Do(ctx, g.client(), s.first)
 	s.events = eventsOf(resp)
 	w.logf("stream %s at %s: status %d, %d of %d events, whole %t", s.first.ID, g.name, resp.Status, s.events, streamEvents, resp.Complete)
-	pause := firstPause
 	if s.events == 0 || s.events >= streamEvents {
 		return
 	}
-	for {
-		time.Sleep(max(pause, resp.RetryAfter()))
-		pause = nextPause
-		left := time.Until(deadline)
-		if left < minLeft {
-			return
-		}
-		s.attempts++
-		g = w.gateways[(number+s.attempts)%len(w.gateways)]
-		next := s.first
-		next.ID, next.Timeout, next.Header = fmt.Sprintf("%s-%d", s.first.ID, s.attempts), left, s.first.Header.Clone()
-		next.Header.Set("Last-Event-Id", fmt.Sprint(s.events))
-		next.Header.Set("Resumes", s.first.ID)
-		s.ids = append(s.ids, next.ID)
-		inTouch := g.inTouch(time.Now())
-		if inTouch {
-			s.inTouch++
-		}
-		resp = w.Do(context.Background(), g.client(), next)
-		w.logf("stream %s taken up after event %d as %s at %s, in touch %t: status %d, %d events, whole %t", s.first.ID, s.events, next.ID, g.name, inTouch, resp.Status, eventsOf(resp), resp.Complete)
-		if resp.Status == http.StatusOK && eventsOf(resp) > 0 {
-			s.goesOn = true
-			return
-		}
-	}
+	time.Sleep(pause)
+	g = w.gateways[(number+1)%len(w.gateways)]
+	next := s.first
+	next.ID, next.Timeout, next.Header = s.takeUpID(), time.Until(deadline), s.first.Header.Clone()
+	next.Header.Set("Last-Event-Id", fmt.Sprint(s.events))
+	next.Header.Set("Resumes", s.first.ID)
+	s.inTouch = g.inTouch(time.Now())
+	resp = w.Do(context.Background(), g.client(), next)
+	s.goesOn = resp.Status == http.StatusOK && eventsOf(resp) > 0
+	w.logf("stream %s taken up after event %d as %s at %s, in touch %t, %d ms left: status %d, %d events, whole %t", s.first.ID, s.events, next.ID, g.name, s.inTouch,
+		next.Timeout.Milliseconds(), resp.Status, eventsOf(resp), resp.Complete)
 }
 
+// takeUpID returns the ID of the attempt that takes the stream up.
+func (s *stream) takeUpID() string { return s.first.ID + "-2" }
+
 // newStreams sends new streams and returns how many of them begin.
 func (w *world) newStreams() int {
 	var mu sync.Mutex
@@ -147,7 +131,7 @@
 func (w *world) judgeTakeUp(all []*stream, begun int) bool {
 	takenUp, goOn := 0, 0
 	for _, s := range all {
-		if s.inTouch == 0 {
+		if !s.inTouch {
 			continue
 		}
 		takenUp++
