review: the scripts record where requests ran, and keep the platform's names in a file

Cause: a case's record has to show what was sent, answered and run; TestPlatformNamesStayInAdapter failed on the names in review/kit-3. Change: the stand-ins log requests, answers and runs; names.json holds the platform's names.

--- a/review/kit-3/crashagain.go
+++ b/review/kit-3/crashagain.go
@@ -25,7 +25,7 @@
 // playCrashAgain lets a request that crashes its servers come, kills all gateways, and lets
 // the request come again. Without trouble, the gateways go on.
 func playCrashAgain(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	for i := range 4 {
 		if _, err := w.AddPlainServer(fmt.Sprintf("p%d", i+1), emulator.PlainService, w.address(100+i, 8080), 30*time.Millisecond); err != nil {
 			return false, err
--- a/review/kit-3/farpart.go
+++ b/review/kit-3/farpart.go
@@ -25,7 +25,7 @@
 // playFarPart lets requests with a part that crashes model servers come one after the other,
 // beside sound requests. The part comes late in a long prompt. Without trouble, it is sound.
 func playFarPart(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	if err := w.addEngines(1, 2, "prefill", ""); err != nil {
 		return false, err
 	}
@@ -52,6 +52,7 @@
 			req := w.modelRequest(emulator.StreamPrefix, 10, streamDeadline, crashing...)
 			resp := w.Do(ctx, g.client(), req)
 			w.logf("request %s with the part at %s: status %d, %d events, whole %t", req.ID, g.name, resp.Status, eventsOf(resp), resp.Complete)
+			w.logRuns(req.ID)
 		})
 		time.Sleep(farInterval)
 	}
--- a/review/kit-3/headlimit.go
+++ b/review/kit-3/headlimit.go
@@ -37,7 +37,7 @@
 	if w.trouble {
 		config.Limits.MaxHeaderBytes = lowHeaderBytes
 	}
-	w.Store.Put("op/config", config)
+	w.Store.Put(names.ConfigurationKey, config)
 	for i := range 4 {
 		if _, err := w.AddPlainServer(fmt.Sprintf("p%d", i+1), emulator.PlainService, w.address(100+i, 8080), deskWork); err != nil {
 			return false, err
@@ -57,7 +57,7 @@
 	time.Sleep(time.Until(change))
 	if w.trouble {
 		config.Version, config.Limits.MaxHeaderBytes = 2, highHeaderBytes
-		w.Store.Put("op/config", config)
+		w.Store.Put(names.ConfigurationKey, config)
 		w.logf("version 2 raises max-header-bytes from %d to %d", lowHeaderBytes, highHeaderBytes)
 	}
 	clients.Wait()
--- a/review/kit-3/hotlookup.go
+++ b/review/kit-3/hotlookup.go
@@ -50,7 +50,7 @@
 // lookup, which may be repeated, on a route that was added later. The servers come back.
 func playHotLookup(w *world) (bool, error) {
 	first := emulator.DefaultConfiguration(1)
-	w.Store.Put("op/config", first)
+	w.Store.Put(names.ConfigurationKey, first)
 	for i := range 4 {
 		if _, err := w.AddPlainServer(fmt.Sprintf("p%d", i+1), emulator.PlainService, w.address(100+i, 8080), lookupWork); err != nil {
 			return false, err
@@ -63,7 +63,7 @@
 	later := second.Routes[0]
 	later.Name, later.Prefix = "today", laterPrefix
 	second.Routes = append(second.Routes, later)
-	w.Store.Put("op/config", second)
+	w.Store.Put(names.ConfigurationKey, second)
 	w.logf("version 2 adds the route %s", laterPrefix)
 	time.Sleep(contact)
 
@@ -106,6 +106,7 @@
 			sent := time.Now()
 			resp := w.Do(context.Background(), g.client(), req)
 			w.logf("request %s for %s at %s: status %d", id, req.Path, g.name, resp.Status)
+			w.logRuns(id)
 			if !sent.Before(from) {
 				count.add(resp.Status)
 			}
--- a/review/kit-3/limit.go
+++ b/review/kit-3/limit.go
@@ -22,7 +22,7 @@
 // playLimit lets the servers of a service, whose answers end with their connections, name a
 // limit. Without trouble, they name none.
 func playLimit(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	var desks []*desk
 	for i := range 4 {
 		d, err := newDesk(w, i+1)
--- a/review/kit-3/pause.go
+++ b/review/kit-3/pause.go
@@ -48,7 +48,7 @@
 	cut      bool
 	lastBeat time.Time
 	listed   bool
-	// limit is what the server names in Server-Limit, in requests a second; 0 for nothing.
+	// limit is what the server names as its limit, in requests a second; 0 for nothing.
 	limit int
 	// unframed makes answers end with their connection, with neither length nor chunks.
 	unframed bool
@@ -85,7 +85,7 @@
 			d.lastBeat = now
 			if !d.listed {
 				d.listed = true
-				d.world.Store.Put("servers/"+d.id, map[string]any{
+				d.world.Store.Put(names.ServersPrefix+d.id, map[string]any{
 					"service": emulator.PlainService, "address": d.addr, "zone": d.zone, "version": "v1", "slots": deskSlots,
 					"state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": d.born,
 				})
@@ -94,7 +94,7 @@
 		}
 		if d.listed && now.Sub(d.lastBeat) >= entryLife {
 			d.listed = false
-			d.world.Store.Delete("servers/" + d.id)
+			d.world.Store.Delete(names.ServersPrefix + d.id)
 			d.world.logf("server %s is dropped from the store", d.id)
 		}
 		d.mu.Unlock()
@@ -133,25 +133,27 @@
 		_, _ = fmt.Fprintf(w, `{"born":%d}`, d.born)
 		return
 	}
-	if want := r.Header.Get("Fescueslip-Expect-Instance"); want != "" && want != d.id {
+	if want := r.Header.Get(names.ExpectedInstance); want != "" && want != d.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if d.arrive(gatewayOf(id)) {
+	refused := d.arrive(gatewayOf(id))
+	d.world.logf("request %s reached server %s, turned away %t", id, d.id, refused)
+	if refused {
 		w.Header().Set("Retry-After", strconv.Itoa(pauseSeconds))
-		w.Header().Set("Fescueslip-Not-Executed", "1")
+		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	d.slots <- struct{}{}
 	time.Sleep(deskWork)
 	<-d.slots
-	w.Header().Set("Fescueslip-Server-Signature", d.id+"."+id)
+	w.Header().Set(names.Signature, d.id+"."+id)
 	d.mu.Lock()
 	limit, unframed := d.limit, d.unframed
 	d.mu.Unlock()
 	if limit > 0 {
-		w.Header().Set("Server-Limit", strconv.Itoa(limit))
+		w.Header().Set(names.RateLimit, strconv.Itoa(limit))
 	}
 	if unframed {
 		w.Header().Set("Transfer-Encoding", "identity") // net/http then ends the answer with the connection
@@ -179,7 +181,7 @@
 // playPause lets a server turn requests away with Retry-After for a moment, and then cuts it
 // from the store for a while. Without trouble, there is no cut.
 func playPause(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	var desks []*desk
 	for i := range 4 {
 		d, err := newDesk(w, i+1)
@@ -222,6 +224,7 @@
 		clients.Go(func() {
 			req := emulator.Request{ID: w.newID(g.name + "_l"), Method: http.MethodGet, Host: emulator.Host, Path: emulator.SafePrefix + "slot", Timeout: time.Second}
 			resp := w.Do(context.Background(), g.client(), req)
+			w.logf("request %s at %s: status %d", req.ID, g.name, resp.Status)
 			mu.Lock()
 			defer mu.Unlock()
 			served[resp.Status]++
--- a/review/kit-3/powercut.go
+++ b/review/kit-3/powercut.go
@@ -18,7 +18,7 @@
 // streams run. The model servers come back with another version of their software, and the
 // clients take their streams up. Without trouble, the clients lose their connections.
 func playPowerCut(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	if err := w.addEngines(1, 2, "prefill", "v1"); err != nil {
 		return false, err
 	}
@@ -79,6 +79,7 @@
 func (w *world) judgeVersions(all []*stream) bool {
 	mixed := 0
 	for _, s := range all {
+		w.logRuns(s.first.ID, s.takeUpID())
 		if !s.goesOn {
 			continue
 		}
--- a/review/kit-3/takeup.go
+++ b/review/kit-3/takeup.go
@@ -39,7 +39,7 @@
 // versions serve, and lets the clients take them up. Without trouble, the clients lose their
 // connections instead.
 func playTakeUp(w *world) (bool, error) {
-	w.Store.Put("op/config", emulator.DefaultConfiguration(1))
+	w.Store.Put(names.ConfigurationKey, emulator.DefaultConfiguration(1))
 	for _, e := range []struct {
 		first, count   int
 		phase, version string
@@ -131,6 +131,7 @@
 func (w *world) judgeTakeUp(all []*stream, begun int) bool {
 	takenUp, goOn := 0, 0
 	for _, s := range all {
+		w.logRuns(s.first.ID, s.takeUpID())
 		if !s.inTouch {
 			continue
 		}
--- a/review/kit-3/world.go
+++ b/review/kit-3/world.go
@@ -278,7 +278,7 @@
 	req := emulator.Request{ID: id, Method: http.MethodPost, Host: emulator.Host, Path: prefix + id, Body: strconv.Itoa(events), Timeout: timeout}
 	req.Header = http.Header{
 		"Fescueslip-Model":       {"m"},
-		"Fescueslip-Token-Usage": {fmt.Sprintf("%d,%d", prompt, 2*events*tokensPerEvent)},
+		names.TokenUsage:         {fmt.Sprintf("%d,%d", prompt, 2*events*tokensPerEvent)},
 		"Fescueslip-Length-Hint": {strconv.Itoa(events * tokensPerEvent)},
 	}
 	entries := make([]string, 0, len(parts)+1)
@@ -286,9 +286,18 @@
 		entries = append(entries, fmt.Sprintf("%s:%d", part, partTokens))
 	}
 	entries = append(entries, fmt.Sprintf("%x:%d", id, prompt-partTokens*len(parts)))
-	req.Header.Set("Fescueslip-Prefix-Hash", strings.Join(entries, ","))
+	req.Header.Set(names.PromptParts, strings.Join(entries, ","))
 	return req
 }
 
+// logRuns writes to the record where the requests with the IDs ran.
+func (w *world) logRuns(ids ...string) {
+	for _, id := range ids {
+		for _, e := range w.ExecutionLog.Executions(id) {
+			w.logf("request %s ran at server %s, version %q, from %.3f s, after event %q, to its end %t", id, e.Server, e.Version, e.Started.Sub(w.start).Seconds(), e.LastEvent, e.Complete)
+		}
+	}
+}
+
 // eventsOf returns the number of whole events in the body of a response.
 func eventsOf(resp *emulator.Response) int { return strings.Count(resp.Body, "\n\n") }
